--- /dev/null
+++ b/internal/wire/events.go
@@ -0,0 +1,145 @@
+package wire
+
+import "cherryhub/decide"
+
+var handlers = map[int]func(h *Host, f *frame, clock uint64){
+	1000: spawn,
+	1010: announce,
+	1020: query,
+	1030: headers,
+	1040: reportBack,
+	1050: clientLeft,
+	1060: elapsed,
+	1070: healthResult,
+	1080: inbox,
+	1090: kill,
+	1100: booking,
+}
+
+var outcomes = map[uint16]decide.Outcome{
+	200: decide.Finished,
+	502: decide.Errored,
+	429: decide.Full,
+	408: decide.TimedOut,
+	521: decide.Unreachable,
+	520: decide.Broken,
+	444: decide.Cancelled,
+	409: decide.Moot,
+	100: decide.Read,
+}
+
+// outcome takes an unknown code for an error, which promises nothing.
+func outcome(code uint16) decide.Outcome {
+	if o, known := outcomes[code]; known {
+		return o
+	}
+	return decide.Errored
+}
+
+func spawn(h *Host, f *frame, clock uint64) {
+	who, seed := f.u32(), f.u64()
+	text := f.take(int(f.u32()))
+	if f.err != nil {
+		return
+	}
+	in := &instance{who: who, out: &h.reply, count: &h.count, start: clock,
+		engines: map[[6]byte]int{}, handles: map[uint64]*decide.Completion{}}
+	settings, err := parseSettings(text)
+	if err == nil {
+		settings.Seed = seed
+		in.router, err = decide.New(settings, in)
+	}
+	if err != nil {
+		delete(h.instances, who)
+		in.die(err.Error())
+		return
+	}
+	h.instances[who] = in
+}
+
+func kill(h *Host, f *frame, _ uint64) {
+	if who := f.u32(); f.err == nil {
+		delete(h.instances, who)
+	}
+}
+
+func announce(h *Host, f *frame, clock uint64) {
+	who, scope := f.u32(), f.u8()
+	f.u64()
+	n := int(f.u32())
+	entries := &frame{data: f.data, pos: f.pos, end: f.end, code: f.code}
+	f.take(n * 24)
+	h.call(who, clock, f.err, func(in *instance) {
+		facts := make([]decide.Fact, n)
+		for i := range facts {
+			e := decide.Fact{Engine: in.engine(entries.address()), Zone: int(entries.u16()), Kind: int(entries.u8()),
+				Cell: int(entries.u16()), Phase: decide.Phase(entries.u8()), Size: entries.float(), Started: longAgo}
+			if since := entries.u64(); since != 0 {
+				e.Started = in.since(since)
+			}
+			facts[i] = e
+		}
+		in.router.Listed(decide.List(scope), facts)
+	})
+}
+
+func query(h *Host, f *frame, clock uint64) {
+	who, id, bits, hint := f.u32(), f.u64(), f.u16(), f.seconds()
+	p := decide.Prompt{Workload: int(f.u8()), SharedLen: f.float(), MaxAnswer: f.float(), Len: f.float(),
+		Session: f.u64(), Shared: f.u64(), Tenant: int(f.u16()), Left: f.seconds(), CameBack: bits&16 != 0}
+	if bits&1 != 0 {
+		p.AnswerHint = hint
+	}
+	h.call(who, clock, f.err, func(in *instance) {
+		if c := in.router.Take(id, p); !c.Over() {
+			in.handles[id] = c
+		}
+	})
+}
+
+func headers(h *Host, f *frame, clock uint64) {
+	who, id, n := f.u32(), f.u64(), int(f.u8())
+	f.address()
+	took := f.seconds()
+	h.onHandle(who, clock, id, f.err, func(_ *instance, c *decide.Completion) { c.Started(n, took) })
+}
+
+func reportBack(h *Host, f *frame, clock uint64) {
+	who, id, n := f.u32(), f.u64(), int(f.u8())
+	f.address()
+	verdict, took, done, note, report := f.u16(), f.seconds(), f.u8() != 0, f.u32(), f.report()
+	h.onHandle(who, clock, id, f.err, func(_ *instance, c *decide.Completion) {
+		c.Ended(n, outcome(verdict), took, done, float64(note), report)
+	})
+}
+
+func clientLeft(h *Host, f *frame, clock uint64) {
+	who, id := f.u32(), f.u64()
+	h.onHandle(who, clock, id, f.err, func(_ *instance, c *decide.Completion) { c.Left() })
+}
+
+func elapsed(h *Host, f *frame, clock uint64) {
+	who, token := f.u32(), f.u64()
+	if token == routerWake {
+		h.call(who, clock, f.err, func(in *instance) { in.router.Due() })
+		return
+	}
+	h.onHandle(who, clock, token, f.err, func(_ *instance, c *decide.Completion) { c.Due() })
+}
+
+func healthResult(h *Host, f *frame, clock uint64) {
+	who, engine, verdict, took, report := f.u32(), f.address(), f.u16(), f.seconds(), f.report()
+	h.call(who, clock, f.err, func(in *instance) {
+		in.router.Probed(in.engine(engine), outcome(verdict), took, report)
+	})
+}
+
+func inbox(_ *Host, f *frame, _ uint64) {
+	f.take(6)
+	f.take(int(f.u16()))
+}
+
+func booking(h *Host, f *frame, clock uint64) {
+	who, id, _, n, _, kind := f.u32(), f.u64(), f.float(), int(f.u8()), f.address(), f.u8()
+	h.onHandle(who, clock, id, f.err, func(_ *instance, c *decide.Completion) { c.Placed(n, kind == 1) })
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,199 @@
+// Package wire turns binary frames into calls on routers and their actions into a reply. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+
+	"cherryhub/decide"
+)
+
+const (
+	batchHeader = 16
+	maxFrame    = 1 << 30
+	routerWake  = math.MaxUint64 // the timer token that means the router, not a completion
+	longAgo     = -1e9
+)
+
+// frame reads fields in sequence; its first misfit is kept in err.
+type frame struct {
+	data []byte
+	pos  int
+	end  int // of the record
+	code int
+	err  error
+}
+
+func (f *frame) take(n int) []byte {
+	if f.err == nil && (n < 0 || n > f.end-f.pos) {
+		f.err = fmt.Errorf("code %d: %d bytes wanted at byte %d, the record ends at byte %d", f.code, n, f.pos, f.end)
+	}
+	if f.err != nil {
+		return make([]byte, max(0, min(n, 8)))
+	}
+	f.pos += n
+	return f.data[f.pos-n : f.pos]
+}
+
+func (f *frame) u8() uint8   { return f.take(1)[0] }
+func (f *frame) u16() uint16 { return binary.LittleEndian.Uint16(f.take(2)) }
+func (f *frame) u32() uint32 { return binary.LittleEndian.Uint32(f.take(4)) }
+func (f *frame) u64() uint64 { return binary.LittleEndian.Uint64(f.take(8)) }
+
+func (f *frame) float() float64 {
+	return float64(math.Float32frombits(binary.LittleEndian.Uint32(f.take(4))))
+}
+
+func (f *frame) seconds() float64 { return float64(f.u64()) / 1e9 }
+
+func (f *frame) address() (a [6]byte) {
+	copy(a[:], f.take(6))
+	return a
+}
+
+func (f *frame) report() []float64 {
+	n := int(f.u8())
+	if n == 0 || n*4 > f.end-f.pos {
+		f.take(n * 4)
+		return nil
+	}
+	values := make([]float64, n)
+	for i := range values {
+		values[i] = f.float()
+	}
+	return values
+}
+
+// instance is one router and its door: ids on the wire to small indices and back.
+type instance struct {
+	who     uint32
+	out     *[]byte
+	count   *int
+	start   uint64
+	router  *decide.Router
+	engines map[[6]byte]int
+	address [][6]byte
+	handles map[uint64]*decide.Completion
+}
+
+func (in *instance) engine(a [6]byte) int {
+	i, known := in.engines[a]
+	if !known {
+		i = len(in.address)
+		in.engines[a] = i
+		in.address = append(in.address, a)
+	}
+	return i
+}
+
+func (in *instance) since(clock uint64) float64 { return float64(int64(clock-in.start)) / 1e9 }
+
+// Host holds the instances of one process.
+type Host struct {
+	instances map[uint32]*instance
+	reply     []byte
+	count     int
+}
+
+// NewHost makes a host without instances.
+func NewHost() *Host { return &Host{instances: map[uint32]*instance{}} }
+
+// Serve answers batches until the input ends.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	head, body := make([]byte, batchHeader), []byte(nil)
+	for {
+		if _, err := io.ReadFull(r, head); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("code 0: the batch header ends before byte %d", batchHeader)
+		}
+		size := int(binary.LittleEndian.Uint32(head[4:]))
+		if size > maxFrame {
+			return fmt.Errorf("code 0: a batch of %d bytes at byte 4", size)
+		}
+		if cap(body) < size {
+			body = make([]byte, size)
+		}
+		body = body[:size]
+		if n, err := io.ReadFull(r, body); err != nil {
+			return fmt.Errorf("code 0: the batch ends at byte %d of %d", n, size)
+		}
+		reply, err := h.Batch(int(binary.LittleEndian.Uint32(head)), binary.LittleEndian.Uint64(head[8:]), body)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(reply); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// Batch carries out one batch and returns the whole reply, which holds until the next call.
+func (h *Host) Batch(count int, clock uint64, body []byte) ([]byte, error) {
+	h.reply, h.count = append(h.reply[:0], make([]byte, 8)...), 0
+	f := &frame{data: body}
+	for range count {
+		f.code, f.end = 0, len(body)
+		code, size := int(f.u16()), int(f.u32())
+		if f.err != nil {
+			return nil, f.err
+		}
+		if f.code = code; size > len(body)-f.pos {
+			return nil, fmt.Errorf("code %d: a record of %d bytes at byte %d, the batch ends at byte %d",
+				code, size, f.pos, len(body))
+		}
+		f.end = f.pos + size
+		if handler := handlers[code]; handler == nil {
+			f.pos = f.end
+		} else {
+			handler(h, f, clock)
+		}
+		if f.err != nil {
+			return nil, f.err
+		}
+		if f.pos != f.end {
+			return nil, fmt.Errorf("code %d: %d bytes too many at byte %d", code, f.end-f.pos, f.pos)
+		}
+	}
+	if f.pos != len(body) {
+		return nil, fmt.Errorf("code 0: %d bytes after the last record at byte %d", len(body)-f.pos, f.pos)
+	}
+	binary.LittleEndian.PutUint32(h.reply, uint32(h.count))
+	binary.LittleEndian.PutUint32(h.reply[4:], uint32(len(h.reply)-8))
+	return h.reply, nil
+}
+
+// call runs f for the instance at the clock's time; a panic becomes the instance's fault.
+func (h *Host) call(who uint32, clock uint64, err error, f func(in *instance)) {
+	in := h.instances[who]
+	if in == nil || err != nil {
+		return
+	}
+	defer func() {
+		if trouble := recover(); trouble != nil {
+			delete(h.instances, who)
+			in.die(fmt.Sprint(trouble))
+		}
+	}()
+	in.router.At(in.since(clock))
+	f(in)
+}
+
+// onHandle runs f for a completion; one that is unknown or over is left alone.
+func (h *Host) onHandle(who uint32, clock, id uint64, err error, f func(in *instance, c *decide.Completion)) {
+	h.call(who, clock, err, func(in *instance) {
+		if c := in.handles[id]; c != nil {
+			f(in, c)
+			if c.Over() {
+				delete(in.handles, id)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,37 @@
+package wire
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestBadFrames(t *testing.T) {
+	for name, c := range map[string]struct {
+		count int
+		body  []byte
+		says  string
+	}{
+		"no record":         {1, nil, "code 0: 2 bytes wanted at byte 0"},
+		"record too long":   {1, []byte{0xfc, 3, 9, 0, 0, 0}, "code 1020: a record of 9 bytes at byte 6"},
+		"record too short":  {1, []byte{0x42, 4, 2, 0, 0, 0, 1, 2}, "code 1090: 4 bytes wanted at byte 6"},
+		"bytes after":       {0, []byte{1}, "code 0: 1 bytes after the last record at byte 0"},
+		"field left over":   {1, []byte{0x42, 4, 5, 0, 0, 0, 1, 0, 0, 0, 9}, "code 1090: 1 bytes too many at byte 10"},
+		"count past end":    {1, []byte{0x38, 4, 8, 0, 0, 0, 0, 0, 0, 0, 0, 0, 9, 0}, "code 1080: 9 bytes wanted"},
+		"unknown skipped":   {1, []byte{9, 9, 1, 0, 0, 0, 7}, ""},
+		"unknown who":       {1, []byte{0x42, 4, 4, 0, 0, 0, 1, 2, 0, 0}, ""},
+		"empty batch":       {0, nil, ""},
+		"bad settings: die": {1, []byte{0xe8, 3, 17, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, '['}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reply, err := NewHost().Batch(c.count, 1, c.body)
+			if c.says != "" {
+				assert.ErrorContains(t, err, c.says)
+				assert.Nil(t, reply)
+				return
+			}
+			assert.NoError(t, err)
+			assert.GreaterOrEqual(t, len(reply), 8)
+		})
+	}
+}
