--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	localMost   = 2000.0 // tokens; an uncached remainder up to this is read at the writer (the design page's start)
+	localMost   = 250.0 // tokens; an uncached remainder up to this is read at the writer (the design page's start)
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
