--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
-	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
+	waitTarget  = 0.7    // latency targets that a completion may wait: bound = rate x this x target
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -408,6 +408,7 @@
 	began     bool
 	answered  bool
 	waitsHere bool
+	holds     bool // a state or a place may be held
 }
 
 // Take takes a completion and decides its ordinary path.
@@ -548,7 +549,7 @@
 		return
 	}
 	if r.set.Places && c.out == 1 {
-		c.place = c.writer
+		c.place, c.holds = c.writer, true
 		r.do.HoldPlace(c.id, c.writer.id)
 	}
 }
@@ -756,7 +757,7 @@
 		p := r.pool(d.e)
 		p.read += paceLeast * (c.p.Len - found - p.read)
 		r.learn(d.e, &c.p, d.claimed, found)
-		c.state = d.e
+		c.state, c.holds = d.e, true
 	case Finished:
 		d.ran = true
 		r.judge(d.e, 0)
@@ -804,9 +805,9 @@
 
 // letGo releases what is held as soon as no dispatch is out that could take it.
 func (c *Completion) letGo() {
-	if c.out == 0 && (c.state != nil || c.place != nil) {
+	if c.out == 0 && c.holds {
 		c.r.do.Release(c.id)
-		c.state, c.place = nil, nil
+		c.state, c.place, c.holds = nil, nil, false
 	}
 }
 
