--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,6 +14,7 @@
 
 const (
 	localMost   = 250.0 // tokens; an uncached remainder up to this is read at the writer (the design page's start)
+	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
@@ -509,7 +510,7 @@
 		return
 	}
 	c.writer = r.choose(c, false, func(e *engine) float64 {
-		return c.p.Len - r.keeps(e, &c.p)
+		return math.Min(remoteMost, c.p.Len-r.keeps(e, &c.p))
 	}, func(e *engine) float64 {
 		if e.zone == r.set.Zone {
 			return 0
