--- a/decide/decide.go
+++ b/decide/decide.go
@@ -671,7 +671,7 @@
 		}
 		return
 	}
-	if r.set.Cancels && c.w.Effect == Idempotent {
+	if r.set.Cancels && c.w.Effect == Idempotent && r.fails(c.sent[i].e) > ill {
 		r.do.Cancel(c.id, i)
 	}
 }
