--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	localMost   = 250.0 // tokens; an uncached remainder up to this is read at the writer (the design page's start)
+	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer (the design page's start)
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
@@ -39,6 +39,7 @@
 	lateShare   = 0.03   // share of dispatches that are to be late
 	lateGain    = 0.2    // log steps by which the late figure moves
 	lateFloor   = 0.25   // seconds; nothing is late before, a lost packet and a full step take as long
+	lateFails   = 0.5    // of a failure; what a late dispatch counts
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
@@ -649,7 +650,7 @@
 			continue
 		}
 		d.overdue = true
-		r.judge(d.e, 1)
+		r.judge(d.e, lateFails)
 		r.measure(d, r.now-d.at)
 		c.late(i)
 	}
