--- a/decide/decide.go
+++ b/decide/decide.go
@@ -39,7 +39,6 @@
 	lateShare   = 0.03   // share of dispatches that are to be late
 	lateGain    = 0.2    // log steps by which the late figure moves
 	lateFloor   = 0.25   // seconds; nothing is late before, a lost packet and a full step take as long
-	lateFails   = 0.5    // of a failure; what a late dispatch counts
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
@@ -650,7 +649,7 @@
 			continue
 		}
 		d.overdue = true
-		r.judge(d.e, lateFails)
+		r.judge(d.e, 1)
 		r.measure(d, r.now-d.at)
 		c.late(i)
 	}
