--- a/decide/decide.go
+++ b/decide/decide.go
@@ -409,7 +409,8 @@
 	began     bool
 	answered  bool
 	waitsHere bool
-	holds     bool // a state or a place may be held
+	holds     bool    // a state or a place may be held
+	planned   *engine // the writer on which it is booked while its prompt is read
 }
 
 // Take takes a completion and decides its ordinary path.
@@ -549,6 +550,7 @@
 	if !c.send(reader, c.p.Len-r.keeps(reader, &c.p)) {
 		return
 	}
+	c.plan(c.writer)
 	if r.set.Places && c.out == 1 {
 		c.place, c.holds = c.writer, true
 		r.do.HoldPlace(c.id, c.writer.id)
@@ -559,6 +561,7 @@
 func (c *Completion) write() {
 	r := c.r
 	w := c.writer
+	c.plan(nil)
 	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.mayWrite(w) || r.cold(w) {
 		w = r.choose(c, false, func(*engine) float64 { return 0 }, func(e *engine) float64 {
 			if e.cell == c.state.cell {
@@ -606,6 +609,20 @@
 	return true
 }
 
+// plan books the memory that a completion will take at its writer while it is still being read, so that those
+// taken meanwhile see it; nil takes the booking off.
+func (c *Completion) plan(e *engine) {
+	held := c.p.Len + c.answer/2
+	if c.planned != nil {
+		c.planned.held -= held
+		c.r.pool(c.planned).held -= held
+	}
+	if c.planned = e; e != nil {
+		e.held += held
+		c.r.pool(e).held += held
+	}
+}
+
 // carry books a dispatch's work on its engine, or takes it off.
 func (r *Router) carry(d *dispatch, c *Completion, sign float64) {
 	p := r.pool(d.e)
@@ -732,6 +749,7 @@
 
 // settle counts the completion as no longer waiting.
 func (c *Completion) settle() {
+	c.plan(nil)
 	if c.waitsHere {
 		c.waitsHere = false
 		c.r.waiting--
