--- a/decide/decide.go
+++ b/decide/decide.go
@@ -263,7 +263,7 @@
 		return guess
 	}
 	trust := math.Exp(-age / reportFades)
-	return trust*math.Max(own, report+own-then) + (1-trust)*guess
+	return trust*math.Max(own, report+(own-then)*(1+echo*r.others)) + (1-trust)*guess
 }
 
 // cost is the expected cost of sending so many uncached tokens to an engine, in tokens: what is to be read,
