--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,6 +25,7 @@
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
 	claimsMost  = 8192   // entries; the kept table of an engine is swept past this
+	roomLeast   = 0.1    // share of memory; kept text has so much even in an engine that looks full
 	proofLeast  = 600.0  // tokens; a claim smaller than this proves nothing about the engine's others
 	failGain    = 0.3    // weight of one outcome in an engine's failures: three in a row make it ill
 	failFades   = 4.0    // seconds; failures are forgotten to 1/e in this time, which is the trial traffic back
@@ -269,13 +270,18 @@
 // cost is the expected cost of sending so many uncached tokens to an engine, in tokens: what is to be read,
 // there and before it, and how full the engine is.
 func (r *Router) cost(e *engine, uncached float64) float64 {
-	p, age := r.pool(e), r.now-e.reportAt
-	work := r.all(e.work, p.work, p.size, e.reportWork, e.workThen, age)
-	held := r.all(e.held, p.held, p.size, e.reportHeld, e.heldThen, age)
-	full := math.Min(1, held/e.memory)
+	p := r.pool(e)
+	work := r.all(e.work, p.work, p.size, e.reportWork, e.workThen, r.now-e.reportAt)
+	full := math.Min(1, r.held(e)/e.memory)
 	return uncached + work + overhead + crowdTokens*full/(crowdRoom-full)
 }
 
+// held is the memory that all routers' completions hold on an engine.
+func (r *Router) held(e *engine) float64 {
+	p := r.pool(e)
+	return r.all(e.held, p.held, p.size, e.reportHeld, e.heldThen, r.now-e.reportAt)
+}
+
 // judge books an outcome, 1 for a failure, in the engine's one health figure. It guards against engines that
 // fail fast, are cut off or silent; it should catch whatever else makes dispatches to one engine fail. It harms
 // when failures come from the completion and not the engine: then all engines look equally ill, which costs
@@ -303,10 +309,10 @@
 // keeps is how many of the prompt's tokens an engine is held to keep. A claim ages by time and by what has been
 // read since, which pushes older text out of the engine's memory.
 func (r *Router) keeps(e *engine, p *Prompt) float64 {
-	most := 0.0
+	most, room := 0.0, math.Max(roomLeast*e.memory, e.memory-r.held(e))
 	for i, key := range [...]uint64{p.Session, p.Shared} {
 		c, found := e.kept[key]
-		if key == 0 || !found || r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > e.memory {
+		if key == 0 || !found || r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > room {
 			continue
 		}
 		if i == 1 {
@@ -324,6 +330,7 @@
 	if found >= 0 && claimed >= proofLeast && found < claimed/2 {
 		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
 		e.kept = map[uint64]claim{}
+		return
 	}
 	e.written += p.Len - math.Max(found, 0)
 	if len(e.kept) > claimsMost {
