--- a/decide/decide.go
+++ b/decide/decide.go
@@ -330,7 +330,6 @@
 	if found >= 0 && claimed >= proofLeast && found < claimed/2 {
 		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
 		e.kept = map[uint64]claim{}
-		return
 	}
 	e.written += p.Len - math.Max(found, 0)
 	if len(e.kept) > claimsMost {
@@ -591,6 +590,9 @@
 	p := r.pool(e)
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
 		reads: e.role == Reader, out: true}
+	if c.state != nil {
+		d.claimed = r.keeps(e, &c.p)
+	}
 	expected := d.cost * p.pace
 	if r.now+expected > c.deadline {
 		c.stuck()
@@ -785,7 +787,9 @@
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 	case Finished:
-		d.ran = true
+		if d.ran = true; found < d.claimed/2 {
+			r.learn(d.e, &c.p, d.claimed, found)
+		}
 		r.judge(d.e, 0)
 	case Full:
 		if found == 1 {
