--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
-	closeTokens = 75000  // tokens a unit of price; scores this much apart times the price are close
+	closeTokens = 300e3  // tokens a unit of price; scores this much apart times the price are close
 	closeLeast  = 300.0  // tokens; and so much is close where nearness has no price
 	echo        = 0.5    // share; how far the other routers' work on an engine follows this router's own
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
