--- a/decide/decide.go
+++ b/decide/decide.go
@@ -78,6 +78,7 @@
 	heldThen       float64
 	probing        bool
 	loggedIll      bool
+	doubted        bool // the last claim put to the proof was wrong
 }
 
 // pool is what is measured for engines that read, or that write.
@@ -329,7 +330,13 @@
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
 	if found >= 0 && claimed >= proofLeast && found < claimed/2 {
 		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
-		e.kept = map[uint64]claim{}
+		if delete(e.kept, p.Session); e.doubted {
+			e.kept = map[uint64]claim{}
+		}
+		delete(e.kept, p.Shared)
+		e.doubted = true
+	} else if found >= 0 && claimed >= proofLeast {
+		e.doubted = false
 	}
 	e.written += p.Len - math.Max(found, 0)
 	if len(e.kept) > claimsMost {
@@ -787,7 +794,7 @@
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 	case Finished:
-		if d.ran = true; found < d.claimed/2 {
+		if d.ran = true; d.claimed >= proofLeast {
 			r.learn(d.e, &c.p, d.claimed, found)
 		}
 		r.judge(d.e, 0)
