--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,7 +18,7 @@
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
-	closeTokens = 300e3  // tokens a unit of price; scores this much apart times the price are close
+	closeTokens = 200e3  // tokens a unit of price; scores this much apart times the price are close
 	closeLeast  = 300.0  // tokens; and so much is close where nearness has no price
 	echo        = 0.5    // share; how far the other routers' work on an engine follows this router's own
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
@@ -78,7 +78,6 @@
 	heldThen       float64
 	probing        bool
 	loggedIll      bool
-	doubted        bool // the last claim put to the proof was wrong
 }
 
 // pool is what is measured for engines that read, or that write.
@@ -330,13 +329,7 @@
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
 	if found >= 0 && claimed >= proofLeast && found < claimed/2 {
 		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
-		if delete(e.kept, p.Session); e.doubted {
-			e.kept = map[uint64]claim{}
-		}
-		delete(e.kept, p.Shared)
-		e.doubted = true
-	} else if found >= 0 && claimed >= proofLeast {
-		e.doubted = false
+		e.kept = map[uint64]claim{}
 	}
 	e.written += p.Len - math.Max(found, 0)
 	if len(e.kept) > claimsMost {
@@ -794,7 +787,7 @@
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 	case Finished:
-		if d.ran = true; d.claimed >= proofLeast {
+		if d.ran = true; found < d.claimed/2 {
 			r.learn(d.e, &c.p, d.claimed, found)
 		}
 		r.judge(d.e, 0)
