--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,6 +44,7 @@
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
 	waitTarget  = 0.7    // latency targets that a completion may wait: bound = rate x this x target
+	fullMost    = 0.80   // share of a writer's memory; a completion that no writer has room for is rate-limited
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -415,6 +416,7 @@
 	began     bool
 	answered  bool
 	waitsHere bool
+	rank      float64 // value for its work, against the greatest
 	holds     bool    // a state or a place may be held
 	planned   *engine // the writer on which it is booked while its prompt is read
 }
@@ -432,6 +434,7 @@
 	}
 	c.waitsHere = true
 	r.waiting++
+	c.rank = r.rankOf(&p)
 	if r.waiting > r.bound(c) {
 		c.giveUp()
 		return c
@@ -444,20 +447,24 @@
 // of less value. It guards against more work than the engines can do, whatever the cause: the queue stays as
 // short as the latency target. It harms when a rate has been measured too low: waitLeast is the way back.
 func (r *Router) bound(c *Completion) float64 {
-	rank := r.rank[c.p.Workload]
-	if c.p.Tenant < len(r.tenants) {
-		t := &r.tenants[c.p.Tenant]
+	engines := r.pools[0].size + r.pools[1].size
+	room := r.starts.now(r.now) * waitTarget * c.w.Target
+	return math.Max(waitLeast*engines/(r.others+1), room) * (0.4 + 0.6*c.rank)
+}
+
+// rankOf is a completion's value for its work against the greatest; beyond its tenant's share it is worth less.
+func (r *Router) rankOf(p *Prompt) float64 {
+	rank := r.rank[p.Workload]
+	if p.Tenant < len(r.tenants) {
+		t := &r.tenants[p.Tenant]
 		t.bucket = math.Min(t.rate*shareBurst, t.bucket+(r.now-t.at)*t.rate)
 		t.at = r.now
 		if t.bucket < 1 {
-			rank *= r.set.OverShare
-		} else {
-			t.bucket--
+			return rank * r.set.OverShare
 		}
+		t.bucket--
 	}
-	engines := r.pools[0].size + r.pools[1].size
-	room := r.starts.now(r.now) * waitTarget * c.w.Target
-	return math.Max(waitLeast*engines/(r.others+1), room) * (0.4 + 0.6*rank)
+	return rank
 }
 
 // tried tells whether a dispatch to the engine has failed.
@@ -528,6 +535,10 @@
 		c.stuck()
 		return
 	}
+	if len(c.sent) == 0 && r.held(c.writer)+c.p.Len > c.writer.memory*fullMost*(0.7+0.3*c.rank) {
+		c.stuck()
+		return
+	}
 	mayRead := r.set.WritersRead || c.writer.role == Mixed
 	remainder := c.p.Len - r.keeps(c.writer, &c.p)
 	if mayRead && remainder <= localMost {
