--- a/decide/decide.go
+++ b/decide/decide.go
@@ -44,7 +44,7 @@
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
 	waitTarget  = 0.7    // latency targets that a completion may wait: bound = rate x this x target
-	fullMost    = 0.80   // share of a writer's memory; a completion that no writer has room for is rate-limited
+	fullMost    = 0.95   // share of a writer's memory; a completion that no writer has room for is rate-limited
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -467,6 +467,18 @@
 	return rank
 }
 
+// full is the share of the writers' memory that is held.
+func (r *Router) full() float64 {
+	held, memory := 0.0, 1.0
+	for _, e := range r.engines {
+		if e.phase == Ready && e.role != Reader {
+			held += math.Min(e.memory, r.held(e))
+			memory += e.memory
+		}
+	}
+	return held / memory
+}
+
 // tried tells whether a dispatch to the engine has failed.
 func (c *Completion) tried(e *engine) bool {
 	for i := range c.sent {
@@ -535,7 +547,7 @@
 		c.stuck()
 		return
 	}
-	if len(c.sent) == 0 && r.held(c.writer)+c.p.Len > c.writer.memory*fullMost*(0.7+0.3*c.rank) {
+	if len(c.sent) == 0 && r.full() > fullMost*(0.7+0.3*c.rank) {
 		c.stuck()
 		return
 	}
