--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,6 +14,8 @@
 
 const (
 	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer (the design page's start)
+	jam         = 0.5    // latency targets; readers expected to take longer are jammed
+	readHarm    = 2.0    // times; what a long read among streams costs against one at a reader
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
@@ -576,6 +578,11 @@
 		}
 		return
 	}
+	if local := c.aroundJam(reader); local != nil {
+		c.writer = local
+		c.send(local, c.p.Len-r.keeps(local, &c.p))
+		return
+	}
 	if !c.send(reader, c.p.Len-r.keeps(reader, &c.p)) {
 		return
 	}
@@ -586,6 +593,27 @@
 	}
 }
 
+// aroundJam is the exception for jammed readers: when the best reader is expected to use up much of the latency
+// target, a mixed engine that would begin the answer sooner reads the prompt itself. It guards against readers too
+// few for the prompts, and should catch readers that are slow or lost; it harms the mixed engine's streams.
+func (c *Completion) aroundJam(reader *engine) *engine {
+	r := c.r
+	away := r.cost(reader, c.p.Len-r.keeps(reader, &c.p)) * r.pools[0].pace
+	if away < jam*c.w.Target {
+		return nil
+	}
+	best := r.choose(c, false, func(e *engine) float64 {
+		if e.role != Mixed {
+			return math.Inf(1)
+		}
+		return readHarm * (c.p.Len - r.keeps(e, &c.p))
+	}, func(*engine) float64 { return 0 })
+	if best == nil || r.cost(best, readHarm*(c.p.Len-r.keeps(best, &c.p)))*r.pools[1].pace > away {
+		return nil
+	}
+	return best
+}
+
 // write sends a completion whose state waits to its writer, or to a better one if that has gone ill.
 func (c *Completion) write() {
 	r := c.r
