--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,6 +15,7 @@
 const (
 	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer (the design page's start)
 	jam         = 0.5    // latency targets; readers expected to take longer are jammed
+	roomy       = 0.5    // share of memory; a writer with less held may read long prompts when readers are jammed
 	readHarm    = 3.0    // times; what a long read among streams costs against one at a reader
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
@@ -603,7 +604,7 @@
 		return nil
 	}
 	best := r.choose(c, false, func(e *engine) float64 {
-		if e.role != Mixed && !r.set.WritersRead {
+		if e.role != Mixed && (!r.set.WritersRead || r.held(e) > roomy*e.memory) {
 			return math.Inf(1)
 		}
 		return readHarm * (c.p.Len - r.keeps(e, &c.p))
