--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,8 +45,8 @@
 	lateFloor   = 0.25   // seconds; nothing is late before, a lost packet and a full step take as long
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
-	waitLeast   = 3.0    // completions an engine that may wait in any case, for routers just started
-	waitTarget  = 0.7    // latency targets that a completion may wait: bound = rate x this x target
+	waitLeast   = 5.0    // completions an engine that may wait in any case, for routers just started
+	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
 	fullMost    = 0.95   // share of a writer's memory; a completion that no writer has room for is rate-limited
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
@@ -452,7 +452,7 @@
 func (r *Router) bound(c *Completion) float64 {
 	engines := r.pools[0].size + r.pools[1].size
 	room := r.starts.now(r.now) * waitTarget * c.w.Target
-	return math.Max(waitLeast*engines/(r.others+1), room) * (0.4 + 0.6*c.rank)
+	return math.Max(waitLeast*engines/(r.others+1), room) * (0.7 + 0.3*c.rank)
 }
 
 // rankOf is a completion's value for its work against the greatest; beyond its tenant's share it is worth less.
