--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,6 +48,7 @@
 	waitLeast   = 5.0    // completions an engine that may wait in any case, for routers just started
 	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
 	fullMost    = 0.95   // share of a writer's memory; a completion that no writer has room for is rate-limited
+	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -550,7 +551,7 @@
 		c.stuck()
 		return
 	}
-	if len(c.sent) == 0 && r.full() > fullMost*(0.7+0.3*c.rank) {
+	if len(c.sent) == 0 && r.held(c.writer)+c.p.Len > fullMost*c.writer.memory && r.full() > fullPool*(0.7+0.3*c.rank) {
 		c.stuck()
 		return
 	}
