--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
 	fullMost    = 0.95   // share of a writer's memory; a completion that no writer has room for is rate-limited
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
+	readMost    = 0.8    // latency targets; a completion that readers are expected to hold longer is rate-limited
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -483,6 +484,9 @@
 	return held / memory
 }
 
+// target is the latency target of the completion.
+func (c *Completion) target() float64 { return c.w.Target + c.w.TargetPerToken*c.p.Len }
+
 // tried tells whether a dispatch to the engine has failed.
 func (c *Completion) tried(e *engine) bool {
 	for i := range c.sent {
@@ -585,7 +589,12 @@
 		c.send(local, c.p.Len-r.keeps(local, &c.p))
 		return
 	}
-	if !c.send(reader, c.p.Len-r.keeps(reader, &c.p)) {
+	remainder = c.p.Len - r.keeps(reader, &c.p)
+	if len(c.sent) == 0 && r.cost(reader, remainder)*r.pools[0].pace > readMost*(0.7+0.3*c.rank)*c.target() {
+		c.stuck()
+		return
+	}
+	if !c.send(reader, remainder) {
 		return
 	}
 	c.plan(c.writer)
