--- a/decide/decide.go
+++ b/decide/decide.go
@@ -412,9 +412,8 @@
 	w         *Workload
 	answer    float64 // expected tokens
 	deadline  float64
-	writer    *engine
+	writer    *engine // where the answer is to be written
 	state     *engine // where the read state waits
-	place     *engine // where a place is asked for
 	sent      []dispatch
 	out       int
 	wakeAt    float64
@@ -599,7 +598,7 @@
 	}
 	c.plan(c.writer)
 	if r.set.Places && c.out == 1 {
-		c.place, c.holds = c.writer, true
+		c.holds = true
 		r.do.HoldPlace(c.id, c.writer.id)
 	}
 }
@@ -781,10 +780,10 @@
 	d.e.slowAt = r.now
 }
 
-// Placed tells whether the place that was asked for is held.
+// Placed tells whether the place that was asked for is held; if not, the writer is picked anew after the read.
 func (c *Completion) Placed(_ int, held bool) {
 	if !held {
-		c.place = nil
+		c.writer = nil
 	}
 }
 
@@ -803,12 +802,8 @@
 	c.r.judge(d.e, 0)
 	c.unread(d)
 	c.r.learn(d.e, &c.p, 0, -1)
-	c.state, c.place = nil, nil
-	for i := range c.sent {
-		if i != n && c.sent[i].out && c.r.set.Cancels {
-			c.r.do.Cancel(c.id, i)
-		}
-	}
+	c.state = nil
+	c.cancel(n)
 }
 
 // unread takes a dispatch's reading off its engine once that is done.
@@ -899,7 +894,7 @@
 func (c *Completion) letGo() {
 	if c.out == 0 && c.holds {
 		c.r.do.Release(c.id)
-		c.state, c.place, c.holds = nil, nil, false
+		c.state, c.holds = nil, false
 	}
 }
 
@@ -924,11 +919,7 @@
 	} else {
 		r.do.Abort(c.id)
 	}
-	for i := range c.sent {
-		if c.sent[i].out && r.set.Cancels {
-			r.do.Cancel(c.id, i)
-		}
-	}
+	c.cancel(-1)
 	c.letGo()
 }
 
@@ -939,12 +930,17 @@
 	}
 	c.answered = true
 	c.settle()
+	c.cancel(-1)
+	c.letGo()
+}
+
+// cancel takes back all dispatches but one.
+func (c *Completion) cancel(but int) {
 	for i := range c.sent {
-		if c.sent[i].out && c.r.set.Cancels {
+		if i != but && c.sent[i].out && c.r.set.Cancels {
 			c.r.do.Cancel(c.id, i)
 		}
 	}
-	c.letGo()
 }
 
 // Over tells that nothing more can happen to the completion.
