--- a/decide/api.go
+++ b/decide/api.go
@@ -21,7 +21,6 @@
 	ComeBack      bool    // clients are told when to come back
 	MaxComeBack   float64 // the longest wait that a client obeys
 	ListAsked     bool    // the list of engines comes only when asked for
-	AskWithin     float64 // and has to be asked for this often
 	ColdShare     float64 // an engine starts at this share of its capacity or more
 	Warm          float64 // and is warm after this time
 	ColdMultiple  float64 // it falls over when sent more than this multiple of its capacity
@@ -29,7 +28,6 @@
 	Tick          float64 // the least time between two calls that differ in their time
 	FarPrice      float64 // price of a state that leaves its cell, a part of the value
 	CrossPrice    float64 // price of a dispatch that leaves its zone, a part of the value
-	WastePrice    float64
 }
 
 // Workload is a kind of completion.
@@ -37,8 +35,7 @@
 	Target         float64 // first token wanted within
 	TargetPerToken float64 // and so much longer for each token of the prompt
 	TokenTarget    float64 // mean time between tokens
-	Value          float64
-	LateValue      float64
+	Value          float64 // of a unit of its work
 	Effect         Effect
 	Group          Group   // where the repeat of a tokened completion is known
 	Window         float64 // and for how long
@@ -107,7 +104,6 @@
 	Kind    int
 	Cell    int
 	Phase   Phase
-	Size    float64
 	Started float64 // on the instance's clock; far below 0 for long ago
 }
 
@@ -122,7 +118,6 @@
 	MaxAnswer  float64 // tokens
 	AnswerHint float64 // seconds at the token target, 0 for unknown
 	Left       float64 // seconds until the client gives up
-	CameBack   bool    // its stream broke and goes on from its last token
 }
 
 // Outcome is how a dispatch or a probe ended.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,6 +16,9 @@
 	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer (the design page's start)
 	jam         = 0.5    // latency targets; readers expected to take longer are jammed
 	roomy       = 0.5    // share of memory; a writer with less held may read long prompts when readers are jammed
+	tieBreak    = 0.02   // share of a burden by which chance decides, so that routers don't all pick alike
+	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
+	dispatches  = 3      // a completion, where the settings don't say
 	readHarm    = 3.0    // times; what a long read among streams costs against one at a reader
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
@@ -65,7 +68,6 @@
 // engine is the one record of an engine.
 type engine struct {
 	id, zone, cell int
-	known          bool
 	phase          Phase
 	role           Role
 	memory         float64
@@ -111,10 +113,29 @@
 	do      Actions
 	now     float64
 	rng     uint64
-	others  float64 // how many other routers there are
-	set     Settings
-	rank    []float64 // by workload: value against the greatest
-	columns [5]int    // where a report has queue, inflight, util, x0, x1
+	others  float64    // how many other routers there are
+	works   []Workload // with their value against the greatest
+	columns [4]int     // where a report has queue, util, x0, x1
+	roles   []Role     // by machine kind, as is memory
+	memory  []float64
+	zone    int
+	tick    float64
+	most    int  // dispatches a completion
+	asks    bool // the list must be asked for
+	reads   bool // writers may read
+	places  bool
+	copies  bool
+	cancels bool
+	probes  bool    // probing is allowed and the only way to a report
+	back    float64 // the first come-back time, 0 where none is told
+	over    float64 // what is left of the value beyond a tenant's share
+	far     float64 // tokens by which a reader outside the writer's cell must be better
+	farZone float64 // and one outside its zone
+	away    float64 // and a writer outside this router's zone
+	warm    float64 // seconds until a started engine is warm
+	share   float64 // of its capacity at its start
+	budget  float64 // this router's dispatches to a cold engine in a window, for a full share and a rate of 1
+	window  float64
 	engines []*engine
 	pools   [2]pool // readers; writers and mixed
 	tenants []tenant
@@ -128,15 +149,26 @@
 	if len(s.Workloads) == 0 || len(s.Roles) == 0 {
 		return nil, errors.New("settings: no workloads, or no roles of the machine kinds")
 	}
-	r := &Router{do: do, set: s, rng: s.Seed&math.MaxUint32 | 1<<32, others: math.Max(0, float64(s.Routers-1))}
-	most := 0.0
-	for _, w := range s.Workloads {
-		most = math.Max(most, w.Value)
+	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, others: math.Max(0, float64(s.Routers-1)),
+		works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick, most: s.MaxDispatches,
+		asks: s.ListAsked, reads: s.WritersRead, places: s.Places, copies: s.SecondCopies, cancels: s.Cancels,
+		probes: s.Probes && s.ReportByProbe, over: s.OverShare, far: closeness(s.FarPrice),
+		farZone: closeness(s.FarPrice + s.CrossPrice), away: closeness(2 * s.CrossPrice), warm: s.Warm,
+		share: s.ColdShare, budget: s.ColdMultiple * s.ColdWindow, window: s.ColdWindow}
+	if s.ComeBack {
+		r.back = math.Min(s.MaxComeBack, comeBack)
 	}
-	for _, w := range s.Workloads {
-		r.rank = append(r.rank, w.Value/math.Max(most, 1e-9))
+	if r.most == 0 {
+		r.most = dispatches
 	}
-	for i, name := range [...]string{"queue", "inflight", "util", "x0", "x1"} {
+	greatest := 1e-9
+	for _, w := range r.works {
+		greatest = math.Max(greatest, w.Value)
+	}
+	for i := range r.works {
+		r.works[i].Value /= greatest
+	}
+	for i, name := range [...]string{"queue", "util", "x0", "x1"} {
 		r.columns[i] = -1
 		for j, column := range s.Columns {
 			if column == name {
@@ -151,10 +183,7 @@
 	for i := range r.pools {
 		r.pools[i] = pool{pace: paceGuess, late: lateGuess, read: localMost / 2}
 	}
-	if s.MaxDispatches == 0 {
-		r.set.MaxDispatches = 3
-	}
-	if s.ListAsked {
+	if r.asks {
 		r.do.Watch()
 	}
 	return r, nil
@@ -178,7 +207,7 @@
 // Listed takes news of the engines. A new start time empties what the engine was held to keep.
 func (r *Router) Listed(kind List, facts []Fact) {
 	if kind == ListFailed {
-		if r.set.ListAsked && !r.watches {
+		if r.asks && !r.watches {
 			r.watches = true
 			r.do.WakeRouter(watchAgain * (0.5 + r.chance()))
 		}
@@ -186,9 +215,7 @@
 	}
 	if kind != ListDelta {
 		for _, e := range r.engines {
-			if e != nil {
-				e.phase = Gone
-			}
+			e.phase = Gone
 		}
 	}
 	for _, f := range facts {
@@ -196,17 +223,17 @@
 			r.engines = append(r.engines, &engine{id: len(r.engines), reportAt: math.Inf(-1)})
 		}
 		e := r.engines[f.Engine]
-		if !e.known || f.Started > e.started {
+		if e.kept == nil || f.Started > e.started {
 			e.kept, e.fails, e.slow, e.coldSent = map[uint64]claim{}, 0, 0, 0
 			e.reportAt, e.coldAt = math.Inf(-1), r.now
 		}
-		e.known, e.zone, e.cell, e.phase, e.started = true, f.Zone, f.Cell, f.Phase, f.Started
+		e.zone, e.cell, e.phase, e.started = f.Zone, f.Cell, f.Phase, f.Started
 		e.role, e.memory = Mixed, memoryGuess
-		if f.Kind < len(r.set.Roles) {
-			e.role = r.set.Roles[f.Kind]
+		if f.Kind < len(r.roles) {
+			e.role = r.roles[f.Kind]
 		}
-		if f.Kind < len(r.set.Memory) && r.set.Memory[f.Kind] > 0 {
-			e.memory = r.set.Memory[f.Kind]
+		if f.Kind < len(r.memory) && r.memory[f.Kind] > 0 {
+			e.memory = r.memory[f.Kind]
 		}
 	}
 	for i := range r.pools {
@@ -227,7 +254,7 @@
 }
 
 // Probed takes what a probe found. A failed probe counts as a failure.
-func (r *Router) Probed(id int, o Outcome, _ float64, report []float64) {
+func (r *Router) Probed(id int, o Outcome, report []float64) {
 	if id >= len(r.engines) {
 		return
 	}
@@ -243,14 +270,14 @@
 func (r *Router) reported(e *engine, report []float64) {
 	value := func(i int) float64 {
 		if at := r.columns[i]; at >= 0 && at < len(report) && report[at] >= 0 {
-			return float64(report[at])
+			return report[at]
 		}
 		return math.NaN()
 	}
 	if len(report) == 0 || e.memory == 0 {
 		return
 	}
-	queue, util, held, waits := value(0), value(2), value(3), value(4)
+	queue, util, held, waits := value(0), value(1), value(2), value(3)
 	work := waits * 1000
 	if math.IsNaN(work) {
 		work = queue * r.pools[0].read
@@ -263,31 +290,29 @@
 }
 
 // all is what all routers together have on an engine: own work and the others' guessed from it and the pool's
-// mean, blended with the report by its age.
-func (r *Router) all(own, poolSum, size, report, then, age float64) float64 {
-	guess := own + r.others*(echo*own+(1-echo)*poolSum/math.Max(1, size))
-	if math.IsNaN(report) || math.IsInf(age, 1) {
+// mean, blended with the report by its age. What was sent since the report the others are held to do as well.
+func (r *Router) all(e *engine, own, poolSum, report, then float64) float64 {
+	guess := own + r.others*(echo*own+(1-echo)*poolSum/math.Max(1, r.pool(e).size))
+	if math.IsNaN(report) || math.IsInf(e.reportAt, -1) {
 		return guess
 	}
-	trust := math.Exp(-age / reportFades)
+	trust := math.Exp((e.reportAt - r.now) / reportFades)
 	return trust*math.Max(own, report+(own-then)*(1+echo*r.others)) + (1-trust)*guess
 }
 
+// held is the memory that all routers' completions hold on an engine.
+func (r *Router) held(e *engine) float64 {
+	return r.all(e, e.held, r.pool(e).held, e.reportHeld, e.heldThen)
+}
+
 // cost is the expected cost of sending so many uncached tokens to an engine, in tokens: what is to be read,
 // there and before it, and how full the engine is.
 func (r *Router) cost(e *engine, uncached float64) float64 {
-	p := r.pool(e)
-	work := r.all(e.work, p.work, p.size, e.reportWork, e.workThen, r.now-e.reportAt)
 	full := math.Min(1, r.held(e)/e.memory)
+	work := r.all(e, e.work, r.pool(e).work, e.reportWork, e.workThen)
 	return uncached + work + overhead + crowdTokens*full/(crowdRoom-full)
 }
 
-// held is the memory that all routers' completions hold on an engine.
-func (r *Router) held(e *engine) float64 {
-	p := r.pool(e)
-	return r.all(e.held, p.held, p.size, e.reportHeld, e.heldThen, r.now-e.reportAt)
-}
-
 // judge books an outcome, 1 for a failure, in the engine's one health figure. It guards against engines that
 // fail fast, are cut off or silent; it should catch whatever else makes dispatches to one engine fail. It harms
 // when failures come from the completion and not the engine: then all engines look equally ill, which costs
@@ -318,7 +343,7 @@
 	most, room := 0.0, math.Max(roomLeast*e.memory, e.memory-r.held(e))
 	for i, key := range [...]uint64{p.Session, p.Shared} {
 		c, found := e.kept[key]
-		if key == 0 || !found || r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > room {
+		if key == 0 || !found || r.stale(e, c, room) {
 			continue
 		}
 		if i == 1 {
@@ -329,6 +354,11 @@
 	return most
 }
 
+// stale tells whether a claim is too old, or text has been pushed out of so much room since.
+func (r *Router) stale(e *engine, c claim, room float64) bool {
+	return r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > room
+}
+
 // learn books that an engine has the prompt now. found is what it turned out to have kept, below 0 if not told:
 // when that is less than half of a claim, the engine has lost text and its other claims go too. That guards
 // against emptied caches; it should catch any wrong table; it harms when one text alone was pushed out.
@@ -340,46 +370,42 @@
 	e.written += p.Len - math.Max(found, 0)
 	if len(e.kept) > claimsMost {
 		for key, c := range e.kept { // deletes what keeps would not count; the order doesn't matter
-			if r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > e.memory {
+			if r.stale(e, c, e.memory) {
 				delete(e.kept, key)
 			}
 		}
 	}
-	if e.kept != nil && p.Session != 0 {
-		e.kept[p.Session] = claim{p.Len, r.now, e.written}
-	}
-	if e.kept != nil && p.Shared != 0 {
-		e.kept[p.Shared] = claim{p.SharedLen, r.now, e.written}
-	}
+	e.kept[p.Session] = claim{p.Len, r.now, e.written}
+	e.kept[p.Shared] = claim{p.SharedLen, r.now, e.written}
 }
 
 // cold is the cold budget: a started engine takes this router's part of the multiple times its share of the
 // typical rate in a window, half of it at once. It guards the rule on cold engines.
 func (r *Router) cold(e *engine) bool {
-	age := r.now - e.started
-	if age > r.set.Warm || r.set.ColdWindow <= 0 {
+	part := math.Max(0, r.now-e.started) / r.warm
+	if !(part < 1) || r.window <= 0 {
 		return false
 	}
-	part := math.Max(0, age/r.set.Warm)
-	share := r.set.ColdShare + (1-r.set.ColdShare)*part*part
 	p := r.pool(e)
-	rate := r.set.ColdMultiple * share * p.rate.now(r.now) / math.Max(1, p.size) / 2
-	e.coldSent = math.Max(0, e.coldSent-(r.now-e.coldAt)*math.Max(rate, 0.5/r.set.ColdWindow))
+	budget := r.budget * (r.share + (1-r.share)*part*part) * p.rate.now(r.now) / math.Max(1, p.size) / 2
+	e.coldSent = math.Max(0, e.coldSent-(r.now-e.coldAt)/r.window*math.Max(budget, 0.5))
 	e.coldAt = r.now
-	return e.coldSent > 0 && e.coldSent+1 > rate*r.set.ColdWindow
+	return e.coldSent > 0 && e.coldSent+1 > budget
 }
 
-// choose picks the engine with the least burden for a stage; near adds to the burden of those further away.
-func (r *Router) choose(c *Completion, reads bool, uncached func(*engine) float64, far func(*engine) float64) *engine {
+// choose picks the engine with the least burden for a stage: a reader or not. cost tells what an engine would
+// have to read and how far away it is, in tokens; what has failed this completion comes last.
+func (c *Completion) choose(reads bool, cost func(*engine) (uncached, far float64)) *engine {
 	var best *engine
-	least := math.Inf(1)
+	r, least := c.r, math.Inf(1)
 	for _, e := range r.engines {
 		if e.phase != Ready || (e.role == Reader) != reads || !reads && !c.mayWrite(e) || r.cold(e) {
 			continue
 		}
-		burden := (r.burden(e, uncached(e)) + far(e)) * (1 + 0.02*r.chance())
+		uncached, far := cost(e)
+		burden := (r.burden(e, uncached) + far) * (1 + tieBreak*r.chance())
 		if c.tried(e) {
-			burden += 100 * failTokens
+			burden += triedTokens
 		}
 		if burden < least {
 			best, least = e, burden
@@ -388,14 +414,16 @@
 	return best
 }
 
+// closeness turns a price into the tokens by which scores may differ and still count as close.
 func closeness(price float64) float64 { return math.Max(closeLeast, closeTokens*price) }
 
 // dispatch is one dispatch of a completion.
 type dispatch struct {
 	e       *engine
 	at      float64
-	tokens  float64 // uncached tokens expected to be read there
-	claimed float64
+	tokens  float64 // uncached tokens that are to be read there
+	held    float64 // tokens of its memory
+	claimed float64 // tokens it was held to keep
 	cost    float64 // expected, in tokens
 	late    float64 // when it counts as late
 	reads   bool    // at a reader
@@ -406,83 +434,66 @@
 
 // Completion is the handle of a completion that was taken.
 type Completion struct {
-	r         *Router
-	id        uint64
-	p         Prompt
-	w         *Workload
-	answer    float64 // expected tokens
-	deadline  float64
-	writer    *engine // where the answer is to be written
-	state     *engine // where the read state waits
-	sent      []dispatch
-	out       int
-	wakeAt    float64
-	began     bool
-	answered  bool
-	waitsHere bool
-	rank      float64 // value for its work, against the greatest
-	holds     bool    // a state or a place may be held
-	planned   *engine // the writer on which it is booked while its prompt is read
+	r        *Router
+	id       uint64
+	p        Prompt
+	w        *Workload
+	answer   float64 // expected tokens
+	deadline float64
+	writer   *engine // where the answer is to be written
+	state    *engine // where the read state waits
+	sent     []dispatch
+	out      int
+	wakeAt   float64
+	began    bool
+	answered bool
+	waits    bool
+	rank     float64 // value for its work, against the greatest
+	holds    bool    // a state or a place may be held
+	planned  *engine // the writer on which it is booked while its prompt is read
 }
 
 // Take takes a completion and decides its ordinary path.
 func (r *Router) Take(id uint64, p Prompt) *Completion {
-	if p.Workload < 0 || p.Workload >= len(r.set.Workloads) {
+	if p.Workload < 0 || p.Workload >= len(r.works) {
 		p.Workload = 0
 	}
-	c := &Completion{r: r, id: id, p: p, w: &r.set.Workloads[p.Workload], deadline: r.now + p.Left,
-		wakeAt: math.Inf(1)}
-	c.answer = p.MaxAnswer * answerGuess
+	c := &Completion{r: r, id: id, p: p, w: &r.works[p.Workload], deadline: r.now + p.Left,
+		answer: p.MaxAnswer * answerGuess, wakeAt: math.Inf(1), waits: true, rank: r.rankOf(&p)}
 	if p.AnswerHint > 0 && c.w.TokenTarget > 0 {
 		c.answer = math.Min(p.MaxAnswer, p.AnswerHint/c.w.TokenTarget)
 	}
-	c.waitsHere = true
-	r.waiting++
-	c.rank = r.rankOf(&p)
-	if r.waiting > r.bound(c) {
+	if r.waiting++; r.waiting > r.bound(c) {
 		c.giveUp()
-		return c
+	} else {
+		c.advance()
 	}
-	c.advance()
 	return c
 }
 
 // bound is how many completions may wait for their first token: measured rate x time, with less room for those
-// of less value. It guards against more work than the engines can do, whatever the cause: the queue stays as
-// short as the latency target. It harms when a rate has been measured too low: waitLeast is the way back.
+// of less value. It guards against more work than the engines can do, whatever the cause. It harms when the rate
+// has been measured too low: waitLeast is the way back.
 func (r *Router) bound(c *Completion) float64 {
-	engines := r.pools[0].size + r.pools[1].size
-	room := r.starts.now(r.now) * waitTarget * c.w.Target
-	return math.Max(waitLeast*engines/(r.others+1), room) * (0.7 + 0.3*c.rank)
+	least := waitLeast * (r.pools[0].size + r.pools[1].size) / (r.others + 1)
+	return math.Max(least, r.starts.now(r.now)*waitTarget*c.w.Target) * c.eager()
 }
 
 // rankOf is a completion's value for its work against the greatest; beyond its tenant's share it is worth less.
 func (r *Router) rankOf(p *Prompt) float64 {
-	rank := r.rank[p.Workload]
+	rank := r.works[p.Workload].Value
 	if p.Tenant < len(r.tenants) {
 		t := &r.tenants[p.Tenant]
 		t.bucket = math.Min(t.rate*shareBurst, t.bucket+(r.now-t.at)*t.rate)
 		t.at = r.now
 		if t.bucket < 1 {
-			return rank * r.set.OverShare
+			return rank * r.over
 		}
 		t.bucket--
 	}
 	return rank
 }
 
-// full is the share of the writers' memory that is held.
-func (r *Router) full() float64 {
-	held, memory := 0.0, 1.0
-	for _, e := range r.engines {
-		if e.phase == Ready && e.role != Reader {
-			held += math.Min(e.memory, r.held(e))
-			memory += e.memory
-		}
-	}
-	return held / memory
-}
-
 // target is the latency target of the completion.
 func (c *Completion) target() float64 { return c.w.Target + c.w.TargetPerToken*c.p.Len }
 
@@ -496,45 +507,40 @@
 	return false
 }
 
-// mayWrite keeps the rule that no effect happens twice, for a dispatch to a writer.
+// mayWrite keeps the rule that no effect happens twice, for a dispatch to a writer: none may have run, or the
+// engine drops repeats of those that may have and still remembers them.
 func (c *Completion) mayWrite(e *engine) bool {
-	if c.w.Effect == Idempotent {
-		return true
-	}
-	for i := range c.sent {
-		d := &c.sent[i]
-		if d.reads || !d.out && !d.ran {
-			continue
-		}
+	return c.w.Effect == Idempotent || c.every(func(d *dispatch) bool {
 		same := c.w.Group == GroupAll || c.w.Group == GroupZone && d.e.zone == e.zone ||
 			c.w.Group == GroupCell && d.e.cell == e.cell
-		if c.w.Effect == NonIdempotent || !same || c.r.now+2*c.r.set.Tick > d.at+c.w.Window {
-			return false
-		}
-	}
-	return true
+		return c.w.Effect == Tokened && same && c.r.now+2*c.r.tick < d.at+c.w.Window
+	})
 }
 
 // harmless tells whether the client may be told that trying again does no harm.
 func (c *Completion) harmless() bool {
-	if c.w.Effect == Idempotent || c.w.Effect == Tokened && c.w.Group == GroupAll {
-		return true
-	}
+	return c.w.Effect == Idempotent || c.w.Effect == Tokened && c.w.Group == GroupAll ||
+		c.every(func(*dispatch) bool { return false })
+}
+
+// every tells whether all dispatches to writers that may have run are of a kind.
+func (c *Completion) every(kind func(*dispatch) bool) bool {
 	for i := range c.sent {
-		if d := &c.sent[i]; !d.reads && (d.out || d.ran) {
+		if d := &c.sent[i]; !d.reads && (d.out || d.ran) && !kind(d) {
 			return false
 		}
 	}
 	return true
 }
 
-// advance makes the next dispatch: to a writer if a state waits, else by the ordinary path.
+// advance makes the next dispatch: to a writer if a state waits, else by the ordinary path: the writer is picked
+// first; a small remainder is read there, else a reader reads first.
 func (c *Completion) advance() {
 	r := c.r
-	if c.answered || c.began || c.out > 0 && !r.set.SecondCopies {
+	if c.answered || c.began || c.out > 0 && !r.copies {
 		return
 	}
-	if len(c.sent) >= r.set.MaxDispatches {
+	if len(c.sent) >= r.most {
 		c.stuck()
 		return
 	}
@@ -542,83 +548,91 @@
 		c.write()
 		return
 	}
-	c.writer = r.choose(c, false, func(e *engine) float64 {
-		return math.Min(remoteMost, c.p.Len-r.keeps(e, &c.p))
-	}, func(e *engine) float64 {
-		if e.zone == r.set.Zone {
-			return 0
-		}
-		return closeness(2 * r.set.CrossPrice)
+	c.writer = c.choose(false, func(e *engine) (float64, float64) {
+		return math.Min(remoteMost, c.lacks(e)), distance(e.zone == r.zone, r.away)
 	})
-	if c.writer == nil {
+	if c.writer == nil || c.crowded() {
 		c.stuck()
 		return
 	}
-	if len(c.sent) == 0 && r.held(c.writer)+c.p.Len > fullMost*c.writer.memory && r.full() > fullPool*(0.7+0.3*c.rank) {
-		c.stuck()
-		return
-	}
-	mayRead := r.set.WritersRead || c.writer.role == Mixed
-	remainder := c.p.Len - r.keeps(c.writer, &c.p)
-	if mayRead && remainder <= localMost {
-		c.send(c.writer, remainder)
+	mayRead := r.reads || c.writer.role == Mixed
+	if mayRead && c.lacks(c.writer) <= localMost {
+		c.send(c.writer, c.lacks(c.writer))
 		return
 	}
-	reader := r.choose(c, true, func(e *engine) float64 {
-		return c.p.Len - r.keeps(e, &c.p)
-	}, func(e *engine) float64 {
-		if e.cell == c.writer.cell {
-			return 0
+	reader := c.choose(true, func(e *engine) (float64, float64) {
+		if e.zone != c.writer.zone {
+			return c.lacks(e), r.farZone
 		}
-		if e.zone == c.writer.zone {
-			return closeness(r.set.FarPrice)
-		}
-		return closeness(r.set.FarPrice + r.set.CrossPrice)
+		return c.lacks(e), distance(e.cell == c.writer.cell, r.far)
 	})
-	if reader == nil {
-		if mayRead {
-			c.send(c.writer, remainder)
-		} else {
-			c.stuck()
-		}
-		return
-	}
-	if local := c.aroundJam(reader); local != nil {
+	if local := c.aroundJam(reader, mayRead); local != nil {
 		c.writer = local
-		c.send(local, c.p.Len-r.keeps(local, &c.p))
+		c.send(local, c.lacks(local))
 		return
 	}
-	remainder = c.p.Len - r.keeps(reader, &c.p)
-	if len(c.sent) == 0 && r.cost(reader, remainder)*r.pools[0].pace > readMost*(0.7+0.3*c.rank)*c.target() {
+	if reader == nil || len(c.sent) == 0 && c.reading(reader) > readMost*c.eager()*c.target() {
 		c.stuck()
 		return
 	}
-	if !c.send(reader, remainder) {
-		return
+	if c.send(reader, c.lacks(reader)) {
+		c.plan(c.writer)
+		if r.places && c.out == 1 {
+			c.holds = true
+			r.do.HoldPlace(c.id, c.writer.id)
+		}
+	}
+}
+
+func distance(near bool, tokens float64) float64 {
+	if near {
+		return 0
 	}
-	c.plan(c.writer)
-	if r.set.Places && c.out == 1 {
-		c.holds = true
-		r.do.HoldPlace(c.id, c.writer.id)
+	return tokens
+}
+
+// lacks is the remainder of the prompt that an engine is not held to keep.
+func (c *Completion) lacks(e *engine) float64 { return c.p.Len - c.r.keeps(e, &c.p) }
+
+// reading is the expected time at a reader.
+func (c *Completion) reading(e *engine) float64 { return c.r.cost(e, c.lacks(e)) * c.r.pools[0].pace }
+
+// eager is the part of every bound that a completion of this value may use.
+func (c *Completion) eager() float64 { return 0.7 + 0.3*c.rank }
+
+// crowded bounds what is in flight by memory: a new completion is rate-limited when its writer has no room and
+// the writers together are nearly full. It guards against overload, lost writers and long prompts; it harms when
+// reports show memory held that isn't.
+func (c *Completion) crowded() bool {
+	r, held, memory := c.r, 0.0, 1.0
+	for _, e := range r.engines {
+		if e.phase == Ready && e.role != Reader {
+			held += math.Min(e.memory, r.held(e))
+			memory += e.memory
+		}
 	}
+	return len(c.sent) == 0 && held > fullPool*c.eager()*memory &&
+		r.held(c.writer)+c.p.Len > fullMost*c.writer.memory
 }
 
-// aroundJam is the exception for jammed readers: when the best reader is expected to use up much of the latency
-// target, a mixed engine that would begin the answer sooner reads the prompt itself. It guards against readers too
-// few for the prompts, and should catch readers that are slow or lost; it harms the mixed engine's streams.
-func (c *Completion) aroundJam(reader *engine) *engine {
+// aroundJam is the exception for jammed readers: when there is none, or the best is expected to use up much of the
+// latency target, a mixed engine or a writer with room that would begin the answer sooner reads the prompt itself.
+// It guards against readers too few, slow or lost; it harms the streams of the engine that reads.
+func (c *Completion) aroundJam(reader *engine, mayRead bool) *engine {
 	r := c.r
-	away := r.cost(reader, c.p.Len-r.keeps(reader, &c.p)) * r.pools[0].pace
-	if away < jam*c.w.Target {
+	if reader == nil && mayRead {
+		return c.writer
+	}
+	if reader == nil || c.reading(reader) < jam*c.w.Target {
 		return nil
 	}
-	best := r.choose(c, false, func(e *engine) float64 {
-		if e.role != Mixed && (!r.set.WritersRead || r.held(e) > roomy*e.memory) {
-			return math.Inf(1)
+	best := c.choose(false, func(e *engine) (float64, float64) {
+		if e.role != Mixed && (!r.reads || r.held(e) > roomy*e.memory) {
+			return math.Inf(1), 0
 		}
-		return readHarm * (c.p.Len - r.keeps(e, &c.p))
-	}, func(*engine) float64 { return 0 })
-	if best == nil || r.cost(best, readHarm*(c.p.Len-r.keeps(best, &c.p)))*r.pools[1].pace > away {
+		return readHarm * c.lacks(e), 0
+	})
+	if best == nil || r.cost(best, readHarm*c.lacks(best))*r.pools[1].pace > c.reading(reader) {
 		return nil
 	}
 	return best
@@ -626,22 +640,17 @@
 
 // write sends a completion whose state waits to its writer, or to a better one if that has gone ill.
 func (c *Completion) write() {
-	r := c.r
-	w := c.writer
+	r, w := c.r, c.writer
 	c.plan(nil)
 	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.mayWrite(w) || r.cold(w) {
-		w = r.choose(c, false, func(*engine) float64 { return 0 }, func(e *engine) float64 {
-			if e.cell == c.state.cell {
-				return 0
-			}
-			return closeness(r.set.FarPrice)
+		w = c.choose(false, func(e *engine) (float64, float64) {
+			return 0, distance(e.cell == c.state.cell, r.far)
 		})
 	}
-	if w == nil {
+	if c.writer = w; w == nil {
 		c.stuck()
 		return
 	}
-	c.writer = w
 	c.send(w, 0)
 }
 
@@ -650,7 +659,10 @@
 	r := c.r
 	p := r.pool(e)
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
-		reads: e.role == Reader, out: true}
+		reads: e.role == Reader, out: true, held: c.p.Len}
+	if !d.reads {
+		d.held += c.answer / 2
+	}
 	if c.state != nil {
 		d.claimed = r.keeps(e, &c.p)
 	}
@@ -669,9 +681,9 @@
 	e.coldSent++
 	c.sent = append(c.sent, d)
 	c.out++
-	r.carry(&d, c, 1)
+	r.carry(e, d.tokens, d.held)
 	r.do.Dispatch(c.id, e.id, timeout)
-	if r.set.Probes && r.set.ReportByProbe && !d.reads && !e.probing && r.now-e.reportAt > probeAge {
+	if r.probes && !d.reads && !e.probing && r.now-e.reportAt > probeAge {
 		e.probing = true
 		r.do.Probe(e.id)
 	}
@@ -682,33 +694,24 @@
 // plan books the memory that a completion will take at its writer while it is still being read, so that those
 // taken meanwhile see it; nil takes the booking off.
 func (c *Completion) plan(e *engine) {
-	held := c.p.Len + c.answer/2
 	if c.planned != nil {
-		c.planned.held -= held
-		c.r.pool(c.planned).held -= held
+		c.r.carry(c.planned, 0, -c.p.Len-c.answer/2)
 	}
 	if c.planned = e; e != nil {
-		e.held += held
-		c.r.pool(e).held += held
+		c.r.carry(e, 0, c.p.Len+c.answer/2)
 	}
 }
 
-// carry books a dispatch's work on its engine, or takes it off.
-func (r *Router) carry(d *dispatch, c *Completion, sign float64) {
-	p := r.pool(d.e)
-	held := c.p.Len
-	if !d.reads {
-		held += c.answer / 2
-	}
-	d.e.work += sign * d.tokens
-	p.work += sign * d.tokens
-	d.e.held += sign * held
-	p.held += sign * held
+// carry books work and memory on an engine, or takes it off.
+func (r *Router) carry(e *engine, work, held float64) {
+	p := r.pool(e)
+	e.work, p.work = e.work+work, p.work+work
+	e.held, p.held = e.held+held, p.held+held
 }
 
 // wake sets the one timer: the next dispatch that gets late, else the client timeout.
 func (c *Completion) wake() {
-	at := c.deadline - 2*c.r.set.Tick
+	at := c.deadline - 2*c.r.tick
 	for i := range c.sent {
 		if d := &c.sent[i]; d.out && !d.overdue {
 			at = math.Min(at, d.late)
@@ -716,7 +719,7 @@
 	}
 	if at < c.wakeAt || c.wakeAt <= c.r.now {
 		c.wakeAt = at
-		c.r.do.Wake(c.id, math.Max(c.r.set.Tick, at-c.r.now))
+		c.r.do.Wake(c.id, math.Max(c.r.tick, at-c.r.now))
 	}
 }
 
@@ -726,7 +729,7 @@
 	if c.answered || c.began {
 		return
 	}
-	if r.now >= c.deadline-3*r.set.Tick {
+	if r.now >= c.deadline-3*r.tick {
 		c.giveUp()
 		return
 	}
@@ -749,16 +752,16 @@
 // read elsewhere, or a waiting completion taken from its writer and sent to another.
 func (c *Completion) late(i int) {
 	r := c.r
-	if len(c.sent) >= r.set.MaxDispatches-1 || c.out > 1 {
+	if len(c.sent) >= r.most-1 || c.out > 1 {
 		return
 	}
 	if c.sent[i].reads {
-		if r.set.SecondCopies {
+		if r.copies {
 			c.advance()
 		}
 		return
 	}
-	if r.set.Cancels && c.w.Effect == Idempotent && r.fails(c.sent[i].e) > ill {
+	if r.cancels && c.w.Effect == Idempotent && r.fails(c.sent[i].e) > ill {
 		r.do.Cancel(c.id, i)
 	}
 }
@@ -800,24 +803,18 @@
 		c.r.measure(d, took)
 	}
 	c.r.judge(d.e, 0)
-	c.unread(d)
+	c.r.carry(d.e, -d.tokens, 0)
+	d.tokens = 0
 	c.r.learn(d.e, &c.p, 0, -1)
 	c.state = nil
 	c.cancel(n)
 }
 
-// unread takes a dispatch's reading off its engine once that is done.
-func (c *Completion) unread(d *dispatch) {
-	d.e.work -= d.tokens
-	c.r.pool(d.e).work -= d.tokens
-	d.tokens = 0
-}
-
 // settle counts the completion as no longer waiting.
 func (c *Completion) settle() {
 	c.plan(nil)
-	if c.waitsHere {
-		c.waitsHere = false
+	if c.waits {
+		c.waits = false
 		c.r.waiting--
 	}
 }
@@ -828,68 +825,46 @@
 		return
 	}
 	r, d := c.r, &c.sent[n]
-	tokens := d.tokens
-	r.carry(d, c, -1)
-	d.tokens, d.out = tokens, false
+	r.carry(d.e, -d.tokens, -d.held)
+	d.out = false
 	c.out--
 	r.reported(d.e, report)
+	failed := !d.overdue // a late one has been judged
 	switch o {
 	case Read:
-		r.judge(d.e, 0)
+		failed = false
 		if !d.overdue {
 			r.measure(d, took)
 		}
-		p := r.pool(d.e)
-		p.read += paceLeast * (c.p.Len - found - p.read)
+		r.pools[0].read += paceLeast * (c.p.Len - found - r.pools[0].read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 	case Finished:
-		if d.ran = true; found < d.claimed/2 {
+		failed = false
+		if found < d.claimed/2 {
 			r.learn(d.e, &c.p, d.claimed, found)
 		}
-		r.judge(d.e, 0)
 	case Full:
-		if found == 1 {
-			c.state = nil
-		} else {
-			r.judge(d.e, 1)
+		if found == 1 { // no state to fetch
+			c.state, failed = nil, false
 		}
-	case Errored, Broken, TimedOut:
-		d.ran = true
-		if !d.overdue {
-			r.judge(d.e, 1)
-		}
-	case Unreachable:
+	}
+	d.ran = o != Read && o != Full && o != Unreachable && o != Moot
+	if o == Read || o == Finished {
+		r.judge(d.e, 0)
+	} else if failed && o != Cancelled && o != Moot {
 		r.judge(d.e, 1)
-	case Cancelled:
-		d.ran = true
 	}
-	if done {
+	if done || c.began && c.out == 0 {
 		c.answered = true
 		c.settle()
 	}
-	switch {
-	case c.answered || c.began:
-	case o == Read:
-		if c.out == 0 || r.set.SecondCopies && !c.writing() {
-			c.advance()
-		}
-	case c.out == 0:
+	if c.out == 0 || o == Read && r.copies && c.every(func(d *dispatch) bool { return !d.out }) {
 		c.advance()
 	}
 	c.letGo()
 }
 
-// writing tells whether a dispatch to a writer is out.
-func (c *Completion) writing() bool {
-	for i := range c.sent {
-		if c.sent[i].out && !c.sent[i].reads {
-			return true
-		}
-	}
-	return false
-}
-
 // letGo releases what is held as soon as no dispatch is out that could take it.
 func (c *Completion) letGo() {
 	if c.out == 0 && c.holds {
@@ -911,11 +886,7 @@
 	c.answered = true
 	c.settle()
 	if c.harmless() {
-		back := 0.0
-		if r.set.ComeBack {
-			back = math.Min(r.set.MaxComeBack, comeBack*(0.5+r.chance()))
-		}
-		r.do.RateLimit(c.id, back)
+		r.do.RateLimit(c.id, r.back*(0.5+r.chance()/2))
 	} else {
 		r.do.Abort(c.id)
 	}
@@ -937,7 +908,7 @@
 // cancel takes back all dispatches but one.
 func (c *Completion) cancel(but int) {
 	for i := range c.sent {
-		if i != but && c.sent[i].out && c.r.set.Cancels {
+		if i != but && c.sent[i].out && c.r.cancels {
 			c.r.do.Cancel(c.id, i)
 		}
 	}
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -73,7 +73,8 @@
 		facts := make([]decide.Fact, n)
 		for i := range facts {
 			e := decide.Fact{Engine: in.engine(entries.address()), Zone: int(entries.u16()), Kind: int(entries.u8()),
-				Cell: int(entries.u16()), Phase: decide.Phase(entries.u8()), Size: entries.float(), Started: longAgo}
+				Cell: int(entries.u16()), Phase: decide.Phase(entries.u8()), Started: longAgo}
+			entries.float()
 			if since := entries.u64(); since != 0 {
 				e.Started = in.since(since)
 			}
@@ -86,7 +87,7 @@
 func query(h *Host, f *frame, clock uint64) {
 	who, id, bits, hint := f.u32(), f.u64(), f.u16(), f.seconds()
 	p := decide.Prompt{Workload: int(f.u8()), SharedLen: f.float(), MaxAnswer: f.float(), Len: f.float(),
-		Session: f.u64(), Shared: f.u64(), Tenant: int(f.u16()), Left: f.seconds(), CameBack: bits&16 != 0}
+		Session: f.u64(), Shared: f.u64(), Tenant: int(f.u16()), Left: f.seconds()}
 	if bits&1 != 0 {
 		p.AnswerHint = hint
 	}
@@ -128,9 +129,9 @@
 }
 
 func healthResult(h *Host, f *frame, clock uint64) {
-	who, engine, verdict, took, report := f.u32(), f.address(), f.u16(), f.seconds(), f.report()
+	who, engine, verdict, _, report := f.u32(), f.address(), f.u16(), f.seconds(), f.report()
 	h.call(who, clock, f.err, func(in *instance) {
-		in.router.Probed(in.engine(engine), outcome(verdict), took, report)
+		in.router.Probed(in.engine(engine), outcome(verdict), report)
 	})
 }
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -27,7 +27,6 @@
 		Lanes []struct {
 			Aim    float64 `json:"aim-ns"`
 			Worth  float64 `json:"worth"`
-			Late   float64 `json:"late-worth"`
 			Effect string  `json:"effect"`
 			Group  string  `json:"group"`
 			Window float64 `json:"window-ns"`
@@ -42,14 +41,12 @@
 		} `json:"limits"`
 		Prices struct {
 			CrossZone float64 `json:"cross-zone"`
-			Waste     float64 `json:"waste"`
 		} `json:"prices"`
 		Rules struct {
 			ColdFrom    float64 `json:"cold-from"`
 			WarmUp      float64 `json:"warm-up-ns"`
 			TipMultiple float64 `json:"tip-multiple"`
 			Fall        float64 `json:"fall-ns"`
-			AskWithin   float64 `json:"must-ask-in-ns"`
 		} `json:"rules"`
 		Telemetry struct {
 			Columns []string `json:"columns"`
@@ -69,10 +66,10 @@
 		Probes: raw.Limits.Probes, Places: fam.HoldsAllowed, WritersRead: fam.WritersRead,
 		SecondCopies: raw.Limits.SecondCopies, Cancels: raw.Limits.Cancel, MaxDispatches: raw.Limits.SendCap,
 		ComeBack: raw.Limits.RetryAfter, MaxComeBack: raw.Limits.MaxRetryAfter / 1e9,
-		ListAsked: raw.Registry == "on_request", AskWithin: raw.Rules.AskWithin / 1e9,
+		ListAsked: raw.Registry == "on_request",
 		ColdShare: raw.Rules.ColdFrom, Warm: raw.Rules.WarmUp / 1e9,
 		ColdMultiple: raw.Rules.TipMultiple, ColdWindow: raw.Rules.Fall / 1e9,
-		FarPrice: fam.TransferPrice, CrossPrice: raw.Prices.CrossZone, WastePrice: raw.Prices.Waste,
+		FarPrice: fam.TransferPrice, CrossPrice: raw.Prices.CrossZone,
 	}
 	for _, stage := range fam.StageOfKind {
 		role, known := map[string]decide.Role{"read": decide.Reader, "write": decide.Writer, "both": decide.Mixed}[stage]
@@ -82,7 +79,7 @@
 		s.Roles = append(s.Roles, role)
 	}
 	for i, l := range raw.Lanes {
-		w := decide.Workload{Target: l.Aim / 1e9, Value: l.Worth, LateValue: l.Late, Window: l.Window / 1e9}
+		w := decide.Workload{Target: l.Aim / 1e9, Value: l.Worth, Window: l.Window / 1e9}
 		switch l.Effect {
 		case "free":
 			w.Effect = decide.Idempotent
