--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,9 +1,9 @@
-// Package decide holds every decision of a router: where a completion's prompt is read and where its answer is
-// written, and what is done when that goes wrong. Its interface (settings, facts, outcomes, actions) is in api.go.
+// Package decide holds every decision of a router: where a prompt is read, where its answer is written, and
+// what is done when that goes wrong. Its interface (settings, facts, outcomes, actions) is in api.go.
 //
-// A caller makes a Router with New, sets the time with At before each call, hands it lists (Listed), probe
-// results (Probed) and completions (Take). Take returns a handle; all that happens to the completion later is a
-// call on that handle (Started, Placed, Ended, Left, Due) until Over. The module acts through Actions alone.
+// A caller makes a Router with New, sets the time with At before each call, hands it lists (Listed), probes'
+// results (Probed) and completions (Take). Take returns a handle; what happens to the completion later is a
+// call on it (Started, Placed, Ended, Left, Due) until Over. The module acts through Actions alone.
 package decide
 
 import (
@@ -13,9 +13,9 @@
 )
 
 const (
-	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer (the design page's start)
+	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer
 	jam         = 0.5    // latency targets; readers expected to take longer are jammed
-	roomy       = 0.5    // share of memory; a writer with less held may read long prompts when readers are jammed
+	roomy       = 0.5    // share of memory; a writer with less held may read when readers are jammed
 	tieBreak    = 0.02   // share of a burden by which chance decides, so that routers don't all pick alike
 	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
 	dispatches  = 3      // a completion, where the settings don't say
@@ -30,7 +30,7 @@
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
-	claimsMost  = 8192   // entries; the kept table of an engine is swept past this
+	claimsMost  = 8192   // entries; an engine's table past this is nearly all stale, and is begun anew
 	roomLeast   = 0.1    // share of memory; kept text has so much even in an engine that looks full
 	proofLeast  = 600.0  // tokens; a claim smaller than this proves nothing about the engine's others
 	failGain    = 0.3    // weight of one outcome in an engine's failures: three in a row make it ill
@@ -50,9 +50,9 @@
 	rateTime    = 4.0    // seconds over which rates are measured
 	waitLeast   = 5.0    // completions an engine that may wait in any case, for routers just started
 	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
-	fullMost    = 0.95   // share of a writer's memory; a completion that no writer has room for is rate-limited
+	fullMost    = 0.95   // share of a writer's memory; what it has no room for is rate-limited
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
-	readMost    = 0.8    // latency targets; a completion that readers are expected to hold longer is rate-limited
+	readMost    = 0.8    // latency targets; what readers are expected to hold longer is rate-limited
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -65,27 +65,22 @@
 	tokens, at, mark float64 // mark: what the engine had read when the claim was made
 }
 
-// engine is the one record of an engine.
+// engine is the one record of an engine. Its work is tokens to be read there, its memory is tokens too.
 type engine struct {
-	id, zone, cell int
-	phase          Phase
-	role           Role
-	memory         float64
-	started        float64
-	work, held     float64 // tokens this router has out there: to be read, in memory
-	written        float64 // tokens it came to keep for this router, in all
-	kept           map[uint64]claim
-	fails, failsAt float64
-	slow, slowAt   float64 // log of its time against its pool's
-	coldSent       float64 // bucket of dispatches while it is cold
-	coldAt         float64
-	reportAt       float64 // what it reported last, and what this router had out there then
-	reportWork     float64
-	reportHeld     float64
-	workThen       float64
-	heldThen       float64
-	probing        bool
-	loggedIll      bool
+	id, zone, cell         int
+	phase                  Phase
+	role                   Role
+	memory, started        float64
+	work, held             float64 // what this router has out there
+	kept                   map[uint64]claim
+	written                float64 // tokens it came to keep for this router, in all
+	fails, failsAt         float64 // share of failures, and when it was that
+	slow, slowAt           float64 // log of its time against its pool's, and when
+	coldSent, coldAt       float64 // bucket of dispatches while it is cold
+	reportAt               float64
+	reportWork, reportHeld float64 // what it reported last
+	workThen, heldThen     float64 // and what this router had out there then
+	probing, loggedIll     bool
 }
 
 // pool is what is measured for engines that read, or that write.
@@ -120,22 +115,18 @@
 	memory  []float64
 	zone    int
 	tick    float64
-	most    int  // dispatches a completion
-	asks    bool // the list must be asked for
-	reads   bool // writers may read
-	places  bool
-	copies  bool
-	cancels bool
-	probes  bool    // probing is allowed and the only way to a report
+	most    int     // dispatches a completion
 	back    float64 // the first come-back time, 0 where none is told
 	over    float64 // what is left of the value beyond a tenant's share
-	far     float64 // tokens by which a reader outside the writer's cell must be better
-	farZone float64 // and one outside its zone
-	away    float64 // and a writer outside this router's zone
-	warm    float64 // seconds until a started engine is warm
-	share   float64 // of its capacity at its start
-	budget  float64 // this router's dispatches to a cold engine in a window, for a full share and a rate of 1
-	window  float64
+
+	asks, reads, places, copies, cancels, probes bool // whether: the list must be asked for, writers may read, ...
+
+	far, farZone float64 // tokens by which a reader outside the writer's cell or zone must be better
+	away         float64 // and a writer outside this router's zone
+
+	warm, share    float64 // seconds until a started engine is warm, and its share of capacity at the start
+	window, budget float64 // of the cold rule, and dispatches in it for a full share and a rate of 1
+
 	engines []*engine
 	pools   [2]pool // readers; writers and mixed
 	tenants []tenant
@@ -268,22 +259,21 @@
 
 // reported books a load report in tokens: what waits to be read and what is held.
 func (r *Router) reported(e *engine, report []float64) {
-	value := func(i int) float64 {
-		if at := r.columns[i]; at >= 0 && at < len(report) && report[at] >= 0 {
-			return report[at]
-		}
-		return math.NaN()
-	}
 	if len(report) == 0 || e.memory == 0 {
 		return
 	}
-	queue, util, held, waits := value(0), value(1), value(2), value(3)
-	work := waits * 1000
+	value := [4]float64{} // queue, util, x0, x1
+	for i, at := range r.columns {
+		if value[i] = math.NaN(); at >= 0 && at < len(report) {
+			value[i] = math.Max(0, report[at])
+		}
+	}
+	work, held := value[3]*1000, value[2]
 	if math.IsNaN(work) {
-		work = queue * r.pools[0].read
+		work = value[0] * r.pools[0].read
 	}
-	if e.role != Reader && util > held || math.IsNaN(held) {
-		held = util
+	if e.role != Reader && value[1] > held || math.IsNaN(held) {
+		held = value[1]
 	}
 	e.reportWork, e.reportHeld = work, math.Min(held, 1)*e.memory
 	e.workThen, e.heldThen, e.reportAt = e.work, e.held, r.now
@@ -313,10 +303,9 @@
 	return uncached + work + overhead + crowdTokens*full/(crowdRoom-full)
 }
 
-// judge books an outcome, 1 for a failure, in the engine's one health figure. It guards against engines that
-// fail fast, are cut off or silent; it should catch whatever else makes dispatches to one engine fail. It harms
-// when failures come from the completion and not the engine: then all engines look equally ill, which costs
-// nothing but the preference among them.
+// judge books an outcome, 1 for a failure, in the engine's health. It guards against engines that fail fast,
+// are cut off or silent, and should catch whatever else makes dispatches to one engine fail. It harms when
+// failures come from the completions: then all look ill, which costs the preference among them.
 func (r *Router) judge(e *engine, failed float64) {
 	e.fails = r.fails(e)
 	e.fails += failGain * (failed - e.fails)
@@ -329,21 +318,21 @@
 
 func (r *Router) fails(e *engine) float64 { return e.fails * math.Exp((e.failsAt-r.now)/failFades) }
 
-// burden is the cost with the engine's health in it: slowness against its peers stretches it, failures make it
-// be paid again. Being a price and no gate, it needs no cap on how many are shunned: when all are ill all are equal.
+// burden is the cost with the engine's health: slowness against its peers stretches it, failures make it be
+// paid again. Being a price and no gate, it needs no cap on how many are shunned: all ill are all equal.
 func (r *Router) burden(e *engine, uncached float64) float64 {
 	slow := math.Max(0, e.slow*math.Exp((e.slowAt-r.now)/slowFades))
 	failing := math.Min(failMost, r.fails(e))
 	return (r.cost(e, uncached)*math.Exp(slow) + failing*failTokens) / (1 - failing)
 }
 
-// keeps is how many of the prompt's tokens an engine is held to keep. A claim ages by time and by what has been
-// read since, which pushes older text out of the engine's memory.
+// keeps is how many of the prompt's tokens an engine is held to keep. A claim ages by time and by what has
+// been read since, which pushes older text out of the memory that is left.
 func (r *Router) keeps(e *engine, p *Prompt) float64 {
 	most, room := 0.0, math.Max(roomLeast*e.memory, e.memory-r.held(e))
 	for i, key := range [...]uint64{p.Session, p.Shared} {
 		c, found := e.kept[key]
-		if key == 0 || !found || r.stale(e, c, room) {
+		if key == 0 || !found || r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > room {
 			continue
 		}
 		if i == 1 {
@@ -354,27 +343,18 @@
 	return most
 }
 
-// stale tells whether a claim is too old, or text has been pushed out of so much room since.
-func (r *Router) stale(e *engine, c claim, room float64) bool {
-	return r.now-c.at > keepsFor || (e.written-c.mark)*(r.others+1) > room
-}
-
 // learn books that an engine has the prompt now. found is what it turned out to have kept, below 0 if not told:
-// when that is less than half of a claim, the engine has lost text and its other claims go too. That guards
-// against emptied caches; it should catch any wrong table; it harms when one text alone was pushed out.
+// less than half of a claim, and its other claims go too. That guards against emptied caches and should catch
+// any wrong table; it harms when one text alone was pushed out.
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
-	if found >= 0 && claimed >= proofLeast && found < claimed/2 {
+	lost := found >= 0 && claimed >= proofLeast && found < claimed/2
+	if lost {
 		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
+	}
+	if lost || len(e.kept) > claimsMost {
 		e.kept = map[uint64]claim{}
 	}
 	e.written += p.Len - math.Max(found, 0)
-	if len(e.kept) > claimsMost {
-		for key, c := range e.kept { // deletes what keeps would not count; the order doesn't matter
-			if r.stale(e, c, e.memory) {
-				delete(e.kept, key)
-			}
-		}
-	}
 	e.kept[p.Session] = claim{p.Len, r.now, e.written}
 	e.kept[p.Shared] = claim{p.SharedLen, r.now, e.written}
 }
@@ -615,8 +595,8 @@
 		r.held(c.writer)+c.p.Len > fullMost*c.writer.memory
 }
 
-// aroundJam is the exception for jammed readers: when there is none, or the best is expected to use up much of the
-// latency target, a mixed engine or a writer with room that would begin the answer sooner reads the prompt itself.
+// aroundJam is the exception for jammed readers: when there is none, or the best is expected to use up much
+// of the latency target, a mixed engine or a writer with room that would answer sooner reads the prompt itself.
 // It guards against readers too few, slow or lost; it harms the streams of the engine that reads.
 func (c *Completion) aroundJam(reader *engine, mayRead bool) *engine {
 	r := c.r
@@ -723,7 +703,8 @@
 	}
 }
 
-// Due is called for Wake.
+// Due is called for Wake. A dispatch that takes too long guards against silent, cut off and jammed engines: a
+// second read is sent elsewhere, and a completion that waits at an ill writer is taken back and sent to another.
 func (c *Completion) Due() {
 	r := c.r
 	if c.answered || c.began {
@@ -741,28 +722,15 @@
 		d.overdue = true
 		r.judge(d.e, 1)
 		r.measure(d, r.now-d.at)
-		c.late(i)
-	}
-	if !c.answered {
-		c.wake()
-	}
-}
-
-// late answers a dispatch that takes too long. It guards against silent, cut off and jammed engines: a second
-// read elsewhere, or a waiting completion taken from its writer and sent to another.
-func (c *Completion) late(i int) {
-	r := c.r
-	if len(c.sent) >= r.most-1 || c.out > 1 {
-		return
-	}
-	if c.sent[i].reads {
-		if r.copies {
+		switch spare := len(c.sent) < r.most-1 && c.out == 1; {
+		case spare && d.reads && r.copies:
 			c.advance()
+		case spare && !d.reads && r.cancels && c.w.Effect == Idempotent && r.fails(d.e) > ill:
+			r.do.Cancel(c.id, i) // its end sends the state on
 		}
-		return
 	}
-	if r.cancels && c.w.Effect == Idempotent && r.fails(c.sent[i].e) > ill {
-		r.do.Cancel(c.id, i)
+	if !c.answered {
+		c.wake()
 	}
 }
 
@@ -883,22 +851,16 @@
 // giveUp gives the final answer at once: rate-limited if trying again is harmless, else aborted.
 func (c *Completion) giveUp() {
 	r := c.r
-	c.answered = true
-	c.settle()
 	if c.harmless() {
 		r.do.RateLimit(c.id, r.back*(0.5+r.chance()/2))
 	} else {
 		r.do.Abort(c.id)
 	}
-	c.cancel(-1)
-	c.letGo()
+	c.Left()
 }
 
-// Left tells that the client has gone.
+// Left tells that the client has gone, or has its final answer.
 func (c *Completion) Left() {
-	if c.answered {
-		return
-	}
 	c.answered = true
 	c.settle()
 	c.cancel(-1)
