--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,8 +48,6 @@
 	lateFloor   = 0.25   // seconds; nothing is late before, a lost packet and a full step take as long
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
-	waitLeast   = 5.0    // completions an engine that may wait in any case, for routers just started
-	waitTarget  = 1.0    // latency targets that a completion may wait: bound = rate x this x target
 	fullMost    = 0.95   // share of a writer's memory; what it has no room for is rate-limited
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	readMost    = 0.8    // latency targets; what readers are expected to hold longer is rate-limited
@@ -130,8 +128,6 @@
 	engines []*engine
 	pools   [2]pool // readers; writers and mixed
 	tenants []tenant
-	waiting float64 // completions taken whose answer has not begun
-	starts  meter
 	watches bool
 }
 
@@ -439,26 +435,14 @@
 		p.Workload = 0
 	}
 	c := &Completion{r: r, id: id, p: p, w: &r.works[p.Workload], deadline: r.now + p.Left,
-		answer: p.MaxAnswer * answerGuess, wakeAt: math.Inf(1), waits: true, rank: r.rankOf(&p)}
+		answer: p.MaxAnswer * answerGuess, wakeAt: math.Inf(1), rank: r.rankOf(&p)}
 	if p.AnswerHint > 0 && c.w.TokenTarget > 0 {
 		c.answer = math.Min(p.MaxAnswer, p.AnswerHint/c.w.TokenTarget)
 	}
-	if r.waiting++; r.waiting > r.bound(c) {
-		c.giveUp()
-	} else {
-		c.advance()
-	}
+	c.advance()
 	return c
 }
 
-// bound is how many completions may wait for their first token: measured rate x time, with less room for those
-// of less value. It guards against more work than the engines can do, whatever the cause. It harms when the rate
-// has been measured too low: waitLeast is the way back.
-func (r *Router) bound(c *Completion) float64 {
-	least := waitLeast * (r.pools[0].size + r.pools[1].size) / (r.others + 1)
-	return math.Max(least, r.starts.now(r.now)*waitTarget*c.w.Target) * c.eager()
-}
-
 // rankOf is a completion's value for its work against the greatest; beyond its tenant's share it is worth less.
 func (r *Router) rankOf(p *Prompt) float64 {
 	rank := r.works[p.Workload].Value
@@ -703,8 +687,8 @@
 	}
 }
 
-// Due is called for Wake. A dispatch that takes too long guards against silent, cut off and jammed engines: a
-// second read is sent elsewhere, and a completion that waits at an ill writer is taken back and sent to another.
+// Due is called for Wake. What takes too long at an ill engine is tried elsewhere: a second read is sent, and a
+// completion that waits at a writer is taken back. That guards against engines silent, cut off or stuck.
 func (c *Completion) Due() {
 	r := c.r
 	if c.answered || c.began {
@@ -722,10 +706,12 @@
 		d.overdue = true
 		r.judge(d.e, 1)
 		r.measure(d, r.now-d.at)
-		switch spare := len(c.sent) < r.most-1 && c.out == 1; {
-		case spare && d.reads && r.copies:
+		if len(c.sent) >= r.most-1 || c.out > 1 || r.fails(d.e) < ill {
+			continue
+		}
+		if d.reads && r.copies {
 			c.advance()
-		case spare && !d.reads && r.cancels && c.w.Effect == Idempotent && r.fails(d.e) > ill:
+		} else if !d.reads && r.cancels && c.w.Effect == Idempotent {
 			r.do.Cancel(c.id, i) // its end sends the state on
 		}
 	}
@@ -764,9 +750,8 @@
 		return
 	}
 	c.began = true
-	c.settle()
+	c.plan(nil)
 	d := &c.sent[n]
-	c.r.starts.add(c.r.now, 1)
 	if !d.overdue {
 		c.r.measure(d, took)
 	}
@@ -778,15 +763,6 @@
 	c.cancel(n)
 }
 
-// settle counts the completion as no longer waiting.
-func (c *Completion) settle() {
-	c.plan(nil)
-	if c.waits {
-		c.waits = false
-		c.r.waiting--
-	}
-}
-
 // Ended tells how a dispatch ended; done, that the completion has its answer; found, the prompt's tokens found kept.
 func (c *Completion) Ended(n int, o Outcome, took float64, done bool, found float64, report []float64) {
 	if n < 0 || n >= len(c.sent) || !c.sent[n].out {
@@ -825,7 +801,7 @@
 	}
 	if done || c.began && c.out == 0 {
 		c.answered = true
-		c.settle()
+		c.plan(nil)
 	}
 	if c.out == 0 || o == Read && r.copies && c.every(func(d *dispatch) bool { return !d.out }) {
 		c.advance()
@@ -862,7 +838,7 @@
 // Left tells that the client has gone, or has its final answer.
 func (c *Completion) Left() {
 	c.answered = true
-	c.settle()
+	c.plan(nil)
 	c.cancel(-1)
 	c.letGo()
 }
