--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 )
 
 const (
@@ -34,10 +35,10 @@
 	roomLeast   = 0.1    // share of memory; kept text has so much even in an engine that looks full
 	proofLeast  = 600.0  // tokens; a claim smaller than this proves nothing about the engine's others
 	failGain    = 0.3    // weight of one outcome in an engine's failures: three in a row make it ill
-	failFades   = 4.0    // seconds; failures are forgotten to 1/e in this time, which is the trial traffic back
+	failFades   = 4.0    // seconds; failures are forgotten to 1/e in this time: the trial traffic back
 	failTokens  = 2500.0 // tokens; what a failed dispatch costs, about its time and the wait of the next
 	failMost    = 0.95   // share; an engine is never worse than this, so that all ill means all equal
-	ill         = 0.5    // share of failures above which an engine is logged and left by waiting states
+	ill         = 0.5    // share of failures above which an engine is logged and left by what waits
 	slowGain    = 0.15   // weight of one measured time in an engine's slowness
 	slowFades   = 8.0    // seconds; slowness is forgotten to 1/e in this time
 	paceLeast   = 0.02   // weight of one time in a pool's pace, about the last fifty
@@ -51,6 +52,7 @@
 	fullMost    = 0.95   // share of a writer's memory; what it has no room for is rate-limited
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	readMost    = 0.8    // latency targets; what readers are expected to hold longer is rate-limited
+	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
@@ -68,6 +70,7 @@
 	id, zone, cell         int
 	phase                  Phase
 	role                   Role
+	pool                   *pool
 	memory, started        float64
 	work, held             float64 // what this router has out there
 	kept                   map[uint64]claim
@@ -103,21 +106,22 @@
 
 // Router decides for one router.
 type Router struct {
-	do      Actions
-	now     float64
-	rng     uint64
-	others  float64    // how many other routers there are
-	works   []Workload // with their value against the greatest
-	columns [4]int     // where a report has queue, util, x0, x1
-	roles   []Role     // by machine kind, as is memory
-	memory  []float64
-	zone    int
-	tick    float64
-	most    int     // dispatches a completion
-	back    float64 // the first come-back time, 0 where none is told
-	over    float64 // what is left of the value beyond a tenant's share
-
-	asks, reads, places, copies, cancels, probes bool // whether: the list must be asked for, writers may read, ...
+	do       Actions
+	now      float64
+	rng      uint64
+	others   float64 // how many other routers there are
+	works    []Workload
+	greatest float64 // value of them all
+	columns  [4]int  // where a report has queue, util, x0, x1
+	roles    []Role  // by machine kind, as is memory
+	memory   []float64
+	zone     int
+	tick     float64
+	most     int     // dispatches a completion
+	back     float64 // the first come-back time, 0 where none is told
+	over     float64 // what is left of the value beyond a tenant's share
+
+	asks, reads, places, copies, cancels, probes bool // the list must be asked for, writers may read, ...
 
 	far, farZone float64 // tokens by which a reader outside the writer's cell or zone must be better
 	away         float64 // and a writer outside this router's zone
@@ -128,7 +132,6 @@
 	engines []*engine
 	pools   [2]pool // readers; writers and mixed
 	tenants []tenant
-	watches bool
 }
 
 // New makes a router from its settings.
@@ -148,20 +151,11 @@
 	if r.most == 0 {
 		r.most = dispatches
 	}
-	greatest := 1e-9
-	for _, w := range r.works {
-		greatest = math.Max(greatest, w.Value)
-	}
-	for i := range r.works {
-		r.works[i].Value /= greatest
+	for _, w := range s.Workloads {
+		r.greatest = math.Max(r.greatest, w.Value)
 	}
 	for i, name := range [...]string{"queue", "util", "x0", "x1"} {
-		r.columns[i] = -1
-		for j, column := range s.Columns {
-			if column == name {
-				r.columns[i] = j
-			}
-		}
+		r.columns[i] = slices.Index(s.Columns, name)
 	}
 	for _, t := range s.Tenants {
 		rate := t.Rate / (r.others + 1)
@@ -186,16 +180,12 @@
 }
 
 // Due is called for WakeRouter: it asks for the list again after a failure.
-func (r *Router) Due() {
-	r.watches = false
-	r.do.Watch()
-}
+func (r *Router) Due() { r.do.Watch() }
 
 // Listed takes news of the engines. A new start time empties what the engine was held to keep.
 func (r *Router) Listed(kind List, facts []Fact) {
 	if kind == ListFailed {
-		if r.asks && !r.watches {
-			r.watches = true
+		if r.asks {
 			r.do.WakeRouter(watchAgain * (0.5 + r.chance()))
 		}
 		return
@@ -207,7 +197,7 @@
 	}
 	for _, f := range facts {
 		for len(r.engines) <= f.Engine {
-			r.engines = append(r.engines, &engine{id: len(r.engines), reportAt: math.Inf(-1)})
+			r.engines = append(r.engines, &engine{id: len(r.engines), reportAt: math.Inf(-1), pool: &r.pools[1]})
 		}
 		e := r.engines[f.Engine]
 		if e.kept == nil || f.Started > e.started {
@@ -215,31 +205,24 @@
 			e.reportAt, e.coldAt = math.Inf(-1), r.now
 		}
 		e.zone, e.cell, e.phase, e.started = f.Zone, f.Cell, f.Phase, f.Started
-		e.role, e.memory = Mixed, memoryGuess
-		if f.Kind < len(r.roles) {
+		if e.role, e.memory = Mixed, memoryGuess; f.Kind < len(r.roles) {
 			e.role = r.roles[f.Kind]
 		}
+		if e.role == Reader {
+			e.pool = &r.pools[0]
+		}
 		if f.Kind < len(r.memory) && r.memory[f.Kind] > 0 {
 			e.memory = r.memory[f.Kind]
 		}
 	}
-	for i := range r.pools {
-		r.pools[i].size = 0
-	}
+	r.pools[0].size, r.pools[1].size = 0, 0
 	for _, e := range r.engines {
 		if e.phase == Ready {
-			r.pool(e).size++
+			e.pool.size++
 		}
 	}
 }
 
-func (r *Router) pool(e *engine) *pool {
-	if e.role == Reader {
-		return &r.pools[0]
-	}
-	return &r.pools[1]
-}
-
 // Probed takes what a probe found. A failed probe counts as a failure.
 func (r *Router) Probed(id int, o Outcome, report []float64) {
 	if id >= len(r.engines) {
@@ -247,10 +230,9 @@
 	}
 	e := r.engines[id]
 	e.probing = false
-	if o != Finished && o != Full && o != Moot && o != Cancelled {
+	if r.reported(e, report); o != Finished && o != Full {
 		r.judge(e, 1)
 	}
-	r.reported(e, report)
 }
 
 // reported books a load report in tokens: what waits to be read and what is held.
@@ -275,10 +257,10 @@
 	e.workThen, e.heldThen, e.reportAt = e.work, e.held, r.now
 }
 
-// all is what all routers together have on an engine: own work and the others' guessed from it and the pool's
-// mean, blended with the report by its age. What was sent since the report the others are held to do as well.
+// all is what all routers together have on an engine: own work, and the others' guessed from it and the
+// pool's mean, blended with the report by its age. What was sent since it the others are held to send too.
 func (r *Router) all(e *engine, own, poolSum, report, then float64) float64 {
-	guess := own + r.others*(echo*own+(1-echo)*poolSum/math.Max(1, r.pool(e).size))
+	guess := own + r.others*(echo*own+(1-echo)*poolSum/math.Max(1, e.pool.size))
 	if math.IsNaN(report) || math.IsInf(e.reportAt, -1) {
 		return guess
 	}
@@ -288,14 +270,14 @@
 
 // held is the memory that all routers' completions hold on an engine.
 func (r *Router) held(e *engine) float64 {
-	return r.all(e, e.held, r.pool(e).held, e.reportHeld, e.heldThen)
+	return r.all(e, e.held, e.pool.held, e.reportHeld, e.heldThen)
 }
 
 // cost is the expected cost of sending so many uncached tokens to an engine, in tokens: what is to be read,
 // there and before it, and how full the engine is.
 func (r *Router) cost(e *engine, uncached float64) float64 {
 	full := math.Min(1, r.held(e)/e.memory)
-	work := r.all(e, e.work, r.pool(e).work, e.reportWork, e.workThen)
+	work := r.all(e, e.work, e.pool.work, e.reportWork, e.workThen)
 	return uncached + work + overhead + crowdTokens*full/(crowdRoom-full)
 }
 
@@ -339,9 +321,9 @@
 	return most
 }
 
-// learn books that an engine has the prompt now. found is what it turned out to have kept, below 0 if not told:
-// less than half of a claim, and its other claims go too. That guards against emptied caches and should catch
-// any wrong table; it harms when one text alone was pushed out.
+// learn books that an engine has the prompt now. found is what it turned out to have kept, below 0 if not
+// told: less than half of a claim, and its other claims go too. That guards against emptied caches and should
+// catch any wrong table; it harms when one text alone was pushed out.
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
 	lost := found >= 0 && claimed >= proofLeast && found < claimed/2
 	if lost {
@@ -362,7 +344,7 @@
 	if !(part < 1) || r.window <= 0 {
 		return false
 	}
-	p := r.pool(e)
+	p := e.pool
 	budget := r.budget * (r.share + (1-r.share)*part*part) * p.rate.now(r.now) / math.Max(1, p.size) / 2
 	e.coldSent = math.Max(0, e.coldSent-(r.now-e.coldAt)/r.window*math.Max(budget, 0.5))
 	e.coldAt = r.now
@@ -414,19 +396,18 @@
 	id       uint64
 	p        Prompt
 	w        *Workload
+	rank     float64 // value for its work, against the greatest
 	answer   float64 // expected tokens
 	deadline float64
+	wakeAt   float64
 	writer   *engine // where the answer is to be written
+	planned  *engine // where that is booked while the prompt is read
 	state    *engine // where the read state waits
+	holds    bool    // a state or a place may be held
 	sent     []dispatch
 	out      int
-	wakeAt   float64
-	began    bool
-	answered bool
-	waits    bool
-	rank     float64 // value for its work, against the greatest
-	holds    bool    // a state or a place may be held
-	planned  *engine // the writer on which it is booked while its prompt is read
+
+	began, answered bool
 }
 
 // Take takes a completion and decides its ordinary path.
@@ -443,9 +424,9 @@
 	return c
 }
 
-// rankOf is a completion's value for its work against the greatest; beyond its tenant's share it is worth less.
+// rankOf is a completion's value for its work against the greatest, less beyond its tenant's share.
 func (r *Router) rankOf(p *Prompt) float64 {
-	rank := r.works[p.Workload].Value
+	rank := r.works[p.Workload].Value / math.Max(r.greatest, 1e-9)
 	if p.Tenant < len(r.tenants) {
 		t := &r.tenants[p.Tenant]
 		t.bucket = math.Min(t.rate*shareBurst, t.bucket+(r.now-t.at)*t.rate)
@@ -458,9 +439,6 @@
 	return rank
 }
 
-// target is the latency target of the completion.
-func (c *Completion) target() float64 { return c.w.Target + c.w.TargetPerToken*c.p.Len }
-
 // tried tells whether a dispatch to the engine has failed.
 func (c *Completion) tried(e *engine) bool {
 	for i := range c.sent {
@@ -497,17 +475,13 @@
 	return true
 }
 
-// advance makes the next dispatch: to a writer if a state waits, else by the ordinary path: the writer is picked
-// first; a small remainder is read there, else a reader reads first.
+// advance makes the next dispatch: a state that waits goes to a writer; else, on the ordinary path, the
+// writer is picked first, a small remainder is read there, and a reader reads a larger one.
 func (c *Completion) advance() {
 	r := c.r
 	if c.answered || c.began || c.out > 0 && !r.copies {
 		return
 	}
-	if len(c.sent) >= r.most {
-		c.stuck()
-		return
-	}
 	if c.state != nil {
 		c.write()
 		return
@@ -531,11 +505,11 @@
 		return c.lacks(e), distance(e.cell == c.writer.cell, r.far)
 	})
 	if local := c.aroundJam(reader, mayRead); local != nil {
-		c.writer = local
 		c.send(local, c.lacks(local))
 		return
 	}
-	if reader == nil || len(c.sent) == 0 && c.reading(reader) > readMost*c.eager()*c.target() {
+	target := c.w.Target + c.w.TargetPerToken*c.p.Len
+	if reader == nil || len(c.sent) == 0 && c.reading(reader) > readMost*c.eager()*target {
 		c.stuck()
 		return
 	}
@@ -562,11 +536,11 @@
 func (c *Completion) reading(e *engine) float64 { return c.r.cost(e, c.lacks(e)) * c.r.pools[0].pace }
 
 // eager is the part of every bound that a completion of this value may use.
-func (c *Completion) eager() float64 { return 0.7 + 0.3*c.rank }
+func (c *Completion) eager() float64 { return eagerLeast + (1-eagerLeast)*c.rank }
 
-// crowded bounds what is in flight by memory: a new completion is rate-limited when its writer has no room and
-// the writers together are nearly full. It guards against overload, lost writers and long prompts; it harms when
-// reports show memory held that isn't.
+// crowded bounds what is in flight by memory: a new completion is rate-limited when its writer has no room
+// and the writers together are nearly full. It guards against overload, lost writers and long prompts; it
+// harms when reports show memory held that isn't.
 func (c *Completion) crowded() bool {
 	r, held, memory := c.r, 0.0, 1.0
 	for _, e := range r.engines {
@@ -580,8 +554,8 @@
 }
 
 // aroundJam is the exception for jammed readers: when there is none, or the best is expected to use up much
-// of the latency target, a mixed engine or a writer with room that would answer sooner reads the prompt itself.
-// It guards against readers too few, slow or lost; it harms the streams of the engine that reads.
+// of the latency target, a mixed engine or a writer with room that answers sooner reads the prompt itself. It
+// guards against readers too few, slow or lost; it harms the streams of the engine that reads.
 func (c *Completion) aroundJam(reader *engine, mayRead bool) *engine {
 	r := c.r
 	if reader == nil && mayRead {
@@ -618,10 +592,9 @@
 	c.send(w, 0)
 }
 
-// send makes a dispatch if the time left exceeds the time that it is expected to take.
+// send makes a dispatch if one is left and the time left exceeds what it will take; else it gives up.
 func (c *Completion) send(e *engine, tokens float64) bool {
-	r := c.r
-	p := r.pool(e)
+	r, p := c.r, e.pool
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
 		reads: e.role == Reader, out: true, held: c.p.Len}
 	if !d.reads {
@@ -631,14 +604,12 @@
 		d.claimed = r.keeps(e, &c.p)
 	}
 	expected := d.cost * p.pace
-	if r.now+expected > c.deadline {
+	if r.now+expected > c.deadline || len(c.sent) >= r.most {
 		c.stuck()
 		return false
 	}
-	late := math.Max(lateFloor, expected*p.late)
-	d.late = r.now + late
-	timeout := 0.0
-	if d.reads {
+	late, timeout := math.Max(lateFloor, expected*p.late), 0.0
+	if d.late = r.now + late; d.reads {
 		timeout = math.Min(late*cutOff, c.deadline-r.now)
 	}
 	p.rate.add(r.now, 1)
@@ -668,7 +639,7 @@
 
 // carry books work and memory on an engine, or takes it off.
 func (r *Router) carry(e *engine, work, held float64) {
-	p := r.pool(e)
+	p := e.pool
 	e.work, p.work = e.work+work, p.work+work
 	e.held, p.held = e.held+held, p.held+held
 }
@@ -687,8 +658,8 @@
 	}
 }
 
-// Due is called for Wake. What takes too long at an ill engine is tried elsewhere: a second read is sent, and a
-// completion that waits at a writer is taken back. That guards against engines silent, cut off or stuck.
+// Due is called for Wake. What takes too long at an ill engine is tried elsewhere: a second read is sent, and
+// a completion that waits at a writer is taken back. That guards against engines silent, cut off or stuck.
 func (c *Completion) Due() {
 	r := c.r
 	if c.answered || c.began {
@@ -706,12 +677,10 @@
 		d.overdue = true
 		r.judge(d.e, 1)
 		r.measure(d, r.now-d.at)
-		if len(c.sent) >= r.most-1 || c.out > 1 || r.fails(d.e) < ill {
-			continue
-		}
-		if d.reads && r.copies {
+		switch spare := len(c.sent) < r.most-1 && c.out == 1 && r.fails(d.e) > ill; {
+		case spare && d.reads && r.copies:
 			c.advance()
-		} else if !d.reads && r.cancels && c.w.Effect == Idempotent {
+		case spare && !d.reads && r.cancels && c.w.Effect == Idempotent:
 			r.do.Cancel(c.id, i) // its end sends the state on
 		}
 	}
@@ -722,7 +691,7 @@
 
 // measure books a dispatch's time in its pool's pace and late figure and in its engine's slowness.
 func (r *Router) measure(d *dispatch, took float64) {
-	p := r.pool(d.e)
+	p := d.e.pool
 	ratio := took / math.Max(1e-6, d.cost*p.pace)
 	if ratio > p.late {
 		p.late *= math.Exp(lateGain * (1 - lateShare))
@@ -737,7 +706,7 @@
 	d.e.slowAt = r.now
 }
 
-// Placed tells whether the place that was asked for is held; if not, the writer is picked anew after the read.
+// Placed tells whether the place that was asked for is held; if not, the writer is picked anew on the read.
 func (c *Completion) Placed(_ int, held bool) {
 	if !held {
 		c.writer = nil
@@ -763,7 +732,7 @@
 	c.cancel(n)
 }
 
-// Ended tells how a dispatch ended; done, that the completion has its answer; found, the prompt's tokens found kept.
+// Ended tells how a dispatch ended, whether the completion has its answer, and the tokens found kept.
 func (c *Completion) Ended(n int, o Outcome, took float64, done bool, found float64, report []float64) {
 	if n < 0 || n >= len(c.sent) || !c.sent[n].out {
 		return
@@ -773,30 +742,25 @@
 	d.out = false
 	c.out--
 	r.reported(d.e, report)
-	failed := !d.overdue // a late one has been judged
-	switch o {
-	case Read:
-		failed = false
+	d.ran = o != Read && o != Full && o != Unreachable && o != Moot
+	switch {
+	case o == Read:
 		if !d.overdue {
 			r.measure(d, took)
 		}
 		r.pools[0].read += paceLeast * (c.p.Len - found - r.pools[0].read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
-	case Finished:
-		failed = false
-		if found < d.claimed/2 {
-			r.learn(d.e, &c.p, d.claimed, found)
-		}
-	case Full:
-		if found == 1 { // no state to fetch
-			c.state, failed = nil, false
-		}
+	case o == Finished && found < d.claimed/2:
+		r.learn(d.e, &c.p, d.claimed, found)
+	case o == Full && found == 1:
+		c.state = nil // there was none to fetch
 	}
-	d.ran = o != Read && o != Full && o != Unreachable && o != Moot
-	if o == Read || o == Finished {
+	switch {
+	case o == Read || o == Finished:
 		r.judge(d.e, 0)
-	} else if failed && o != Cancelled && o != Moot {
+	case o == Cancelled || o == Moot || o == Full && found == 1 || d.overdue: // nothing new of the engine
+	default:
 		r.judge(d.e, 1)
 	}
 	if done || c.began && c.out == 0 {
