--- a/decide/decide.go
+++ b/decide/decide.go
@@ -337,18 +337,17 @@
 	e.kept[p.Shared] = claim{p.SharedLen, r.now, e.written}
 }
 
-// cold is the cold budget: a started engine takes this router's part of the multiple times its share of the
-// typical rate in a window, half of it at once. It guards the rule on cold engines.
+// cold is the cold budget: in each window a started engine takes this router's part of the multiple times its
+// share of the typical rate, half of it at once. It guards the rule on cold engines.
 func (r *Router) cold(e *engine) bool {
 	part := math.Max(0, r.now-e.started) / r.warm
 	if !(part < 1) || r.window <= 0 {
 		return false
 	}
-	p := e.pool
-	budget := r.budget * (r.share + (1-r.share)*part*part) * p.rate.now(r.now) / math.Max(1, p.size) / 2
+	budget := r.budget * (r.share + (1-r.share)*part) * e.pool.rate.now(r.now) / math.Max(1, e.pool.size)
 	e.coldSent = math.Max(0, e.coldSent-(r.now-e.coldAt)/r.window*math.Max(budget, 0.5))
 	e.coldAt = r.now
-	return e.coldSent > 0 && e.coldSent+1 > budget
+	return e.coldSent > 0 && e.coldSent+1 > budget/2
 }
 
 // choose picks the engine with the least burden for a stage: a reader or not. cost tells what an engine would
