--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,233 @@
+package decide
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOrdinaryPath(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Settings)
+		facts  []Fact
+		tokens float64
+		kept   int // an engine that keeps the whole prompt, or -1
+		want   []string
+	}{
+		"a short prompt is read at the writer":     {nil, fleet()[:3], 200, -1, []string{"dispatch 2"}},
+		"a long one at the reader near the writer": {nil, fleet()[:3], 3000, -1, []string{"dispatch 0"}},
+		"a kept one at the writer that keeps it":   {nil, fleet(), 3000, 3, []string{"dispatch 3"}},
+		"a long one at the reader that keeps it":   {nil, fleet(), 3000, 1, []string{"dispatch 1"}},
+		"a place is held while it is read": {func(s *Settings) { s.Places = true }, fleet()[:3], 3000, -1,
+			[]string{"dispatch 0", "place 2"}},
+		"without a reader the writer reads": {nil, fleet()[2:3], 3000, -1, []string{"dispatch 2"}},
+		"a mixed engine may read where writers don't": {func(s *Settings) { s.WritersRead = false },
+			[]Fact{ready(0, 2, 0, longAgo)}, 3000, -1, []string{"dispatch 0"}},
+		"without a reader a writer that may not read has no use": {func(s *Settings) { s.WritersRead = false },
+			fleet()[2:], 200, -1, []string{"rate-limit"}},
+		"without a writer it is rate-limited": {nil, fleet()[:2], 3000, -1, []string{"rate-limit"}},
+		"an empty list rate-limits":           {nil, nil, 100, -1, []string{"rate-limit"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, c.change, c.facts)
+			p := prompt(0, c.tokens)
+			if c.kept >= 0 {
+				r.learn(r.engines[c.kept], &p, 0, -1)
+			}
+			r.Take(1, p)
+			assert.Equal(t, c.want, b.flush())
+		})
+	}
+}
+
+func TestStateGoesToTheChosenWriter(t *testing.T) {
+	for name, c := range map[string]struct {
+		then func(r *Router, c *Completion)
+		want []string
+	}{
+		"on its read":                      {func(*Router, *Completion) {}, []string{"dispatch 2"}},
+		"to another when that drains":      {func(r *Router, _ *Completion) { r.Listed(ListDelta, []Fact{{Engine: 2, Kind: 1}}) }, []string{"dispatch 3"}},
+		"anew when its place was not held": {func(_ *Router, c *Completion) { c.Placed(0, false) }, []string{"dispatch 2"}},
+		"nowhere once the client has left": {func(_ *Router, c *Completion) { c.Left() }, []string{"cancel 0", "release"}},
+		"and is let go when none is left": {func(r *Router, _ *Completion) { r.Listed(ListFull, fleet()[:2]) },
+			[]string{"rate-limit", "release"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, append(fleet()[:3:3], ready(3, 1, 1, longAgo)))
+			r.judge(r.engines[3], 1) // tips the choice of the writer
+			h := r.Take(1, prompt(0, 3000))
+			b.flush()
+			c.then(r, h)
+			h.Ended(0, Read, 0.1, false, 0, nil)
+			assert.Equal(t, c.want, b.flush())
+		})
+	}
+}
+
+func TestEffects(t *testing.T) {
+	for name, c := range map[string]struct {
+		work    int
+		outcome Outcome
+		after   float64
+		want    []string
+	}{
+		"idempotent runs again after an error":         {0, Errored, 0.1, []string{"dispatch 3"}},
+		"non-idempotent does not, nor is rate-limited": {1, Errored, 0.1, []string{"abort"}},
+		"non-idempotent runs again if it never ran":    {1, Full, 0.1, []string{"dispatch 3"}},
+		"tokened stays in the group that knows it":     {2, Broken, 0.1, []string{"dispatch 2"}},
+		"tokened is aborted once it is forgotten":      {2, Broken, 2.1, []string{"abort"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, fleet()[2:])
+			p := prompt(c.work, 200)
+			r.learn(r.engines[2], &p, 0, -1)
+			h := r.Take(1, p)
+			require.Equal(t, []string{"dispatch 2"}, b.flush())
+			r.At(c.after)
+			h.Ended(0, c.outcome, c.after, false, 0, nil)
+			assert.Equal(t, c.want, b.flush())
+		})
+	}
+}
+
+func TestRules(t *testing.T) {
+	t.Run("answered before the client timeout, late events ignored", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[2:3])
+		h := r.Take(1, prompt(0, 200))
+		r.At(7.996)
+		h.Due()
+		assert.Equal(t, []string{"dispatch 2", "rate-limit", "cancel 0"}, b.flush())
+		h.Ended(0, Read, 8, false, 0, nil)
+		h.Ended(0, Errored, 8, false, 0, nil)
+		h.Ended(9, Errored, 8, false, 0, nil)
+		h.Due()
+		assert.Equal(t, []string{"release"}, b.flush())
+		assert.True(t, h.Over())
+	})
+	t.Run("a cold engine gets no more than this router's part of its budget", func(t *testing.T) {
+		r, b := start(t, func(s *Settings) { s.Routers = 2 }, fleet()[2:])
+		for i := range 400 { // two seconds at 200 a second, the start after one
+			if i == 200 {
+				r.Listed(ListDelta, []Fact{ready(3, 1, 1, 1)})
+				b.sends = nil
+			}
+			r.At(float64(i) / 200)
+			p := prompt(0, 100)
+			p.Session = uint64(i + 1)
+			h := r.Take(uint64(i), p)
+			h.Started(0, 0.01)
+			h.Ended(0, Finished, 0.01, true, 0, nil)
+		}
+		cold := 0
+		for _, e := range b.sends {
+			cold += e - 2
+		}
+		assert.Greater(t, cold, 0)
+		assert.Less(t, cold, 60) // multiple 2 x share 0.25 x about 100 a second an engine x 1 s, and its growth
+	})
+	t.Run("asks for a list again when that failed", func(t *testing.T) {
+		r, b := start(t, func(s *Settings) { s.ListAsked = true }, nil)
+		r.Listed(ListFailed, nil)
+		r.Due()
+		assert.Equal(t, []string{"watch", "wake router", "watch"}, b.flush())
+	})
+}
+
+func TestDefences(t *testing.T) {
+	take := func(r *Router, id int, tokens float64) *Completion {
+		p := prompt(0, tokens)
+		p.Session = uint64(id)
+		return r.Take(uint64(id), p)
+	}
+	t.Run("a fast failure that looks idle attracts no load", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[2:])
+		for i := range 400 { // answers that stay out make the good engine look the busier
+			r.At(float64(i) / 50)
+			h, n := take(r, i+1, 200), 0
+			for ; b.sends[len(b.sends)-1] == 3; n++ {
+				h.Ended(n, Errored, 0.001, false, 0, nil)
+			}
+			h.Started(n, 0.05)
+		}
+		bad := 0
+		for _, e := range b.sends {
+			bad += e - 2
+		}
+		assert.Greater(t, bad, 2, "trial traffic")
+		assert.Less(t, bad, 80)
+	})
+	t.Run("all engines ill are all used", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[2:])
+		for range 50 {
+			r.judge(r.engines[2], 1)
+			r.judge(r.engines[3], 1)
+		}
+		for i := range 40 {
+			take(r, i+1, 200)
+		}
+		assert.Contains(t, b.sends, 2)
+		assert.Contains(t, b.sends, 3)
+	})
+	t.Run("a wrong claim empties the engine's table", func(t *testing.T) {
+		r, _ := start(t, nil, fleet())
+		p, other := prompt(0, 3000), prompt(0, 2000)
+		other.Session = 12
+		r.learn(r.engines[2], &other, 0, -1)
+		require.Equal(t, 2000.0, r.keeps(r.engines[2], &other))
+		r.learn(r.engines[2], &p, 3000, 0)
+		assert.Zero(t, r.keeps(r.engines[2], &other))
+		assert.Equal(t, 3000.0, r.keeps(r.engines[2], &p))
+		r.Listed(ListDelta, []Fact{ready(2, 1, 0, 5)})
+		assert.Zero(t, r.keeps(r.engines[2], &p), "a new start time empties it too")
+	})
+	t.Run("a silent reader is answered by a second read, once it is ill", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[:3])
+		r.engines[2].memory, r.pools[1].pace = 1e4, 1 // the writer is no way around
+		h := take(r, 1, 3000)
+		silent := b.sends[0]
+		r.judge(r.engines[silent], 1)
+		r.judge(r.engines[silent], 1)
+		r.At(2)
+		h.Due()
+		require.Len(t, b.sends, 2)
+		assert.Equal(t, 1-silent, b.sends[1])
+	})
+	t.Run("full writers rate-limit new completions at once", func(t *testing.T) {
+		r, b := start(t, nil, fleet())
+		for i := range 200 {
+			h := take(r, i+1, 8000)
+			h.Ended(0, Read, 0.1, false, 0, nil)
+		}
+		assert.Contains(t, b.acts, "rate-limit")
+		assert.LessOrEqual(t, r.held(r.engines[2])+r.held(r.engines[3]), 4.4e5)
+	})
+	t.Run("jammed readers are read around by writers with room", func(t *testing.T) {
+		r, b := start(t, nil, []Fact{ready(0, 0, 0, longAgo), ready(2, 2, 0, longAgo)})
+		r.pools[1].pace = 1e-5
+		for i := range 6 {
+			take(r, i+1, 9000)
+		}
+		assert.Contains(t, b.sends, 2)
+	})
+}
+
+func TestStorm(t *testing.T) {
+	for name, change := range map[string]func(*Settings){
+		"as it is":      nil,
+		"places":        func(s *Settings) { s.Places = true },
+		"nothing given": func(s *Settings) { s.SecondCopies, s.Cancels, s.WritersRead, s.Memory = false, false, false, nil },
+		"reports":       func(s *Settings) { s.Columns, s.Tenants = []string{"x0"}, []Tenant{{Rate: 3}} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range int64(8) {
+				require.Equal(t, storm(t, seed, change), storm(t, seed, change), "same events, same actions")
+			}
+		})
+	}
+}
+
+func TestSettingsThatLackWhatDecisionsNeed(t *testing.T) {
+	_, err := New(Settings{}, &book{})
+	assert.ErrorContains(t, err, "no workloads")
+}
