Long reads at writers get a pace of their own and the bound of reads

A jammed amman overload read long prompts at mixed engines in 3.5 s where 1.5 s was expected: their pace was that of short writes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -84,15 +84,18 @@
 	probing, loggedIll     bool
 }
 
-// pool is what is measured for engines that read, or that write.
+// pool is what this router has out at the engines that read, or at those that write.
 type pool struct {
 	size       float64 // engines ready
 	work, held float64 // tokens out, all engines
-	pace       float64 // seconds a token of expected cost
-	paces      float64 // how many were measured
-	late       float64 // times the expected time that only lateShare take longer than
 	rate       meter   // dispatches
-	read       float64 // mean tokens of a read
+}
+
+// stage is what is measured of one kind of dispatch: a read, a write, or a long read at a writer.
+type stage struct {
+	pace  float64 // seconds a token of expected cost
+	paces float64 // how many were measured
+	late  float64 // times the expected time that only lateShare take longer than
 }
 
 // meter measures a rate a second.
@@ -131,6 +134,8 @@
 
 	engines []*engine
 	pools   [2]pool // readers; writers and mixed
+	stages  [3]stage
+	read    float64 // mean tokens of a read
 	tenants []tenant
 }
 
@@ -161,8 +166,8 @@
 		rate := t.Rate / (r.others + 1)
 		r.tenants = append(r.tenants, tenant{rate: rate, bucket: rate * shareBurst})
 	}
-	for i := range r.pools {
-		r.pools[i] = pool{pace: paceGuess, late: lateGuess, read: localMost / 2}
+	for i := range r.stages {
+		r.stages[i] = stage{pace: paceGuess, late: lateGuess}
 	}
 	if r.asks {
 		r.do.Watch()
@@ -248,7 +253,7 @@
 	}
 	work, held := value[3]*1000, value[2]
 	if math.IsNaN(work) {
-		work = value[0] * r.pools[0].read
+		work = value[0] * r.read
 	}
 	if e.role != Reader && value[1] > held || math.IsNaN(held) {
 		held = value[1]
@@ -383,6 +388,7 @@
 	claimed float64 // tokens it was held to keep
 	cost    float64 // expected, in tokens
 	late    float64 // when it counts as late
+	stage   int     // 0 a read, 1 a write, 2 a long read at a writer
 	reads   bool    // at a reader
 	out     bool
 	overdue bool
@@ -504,15 +510,14 @@
 		return c.lacks(e), distance(e.cell == c.writer.cell, r.far)
 	})
 	if local := c.aroundJam(reader, mayRead); local != nil {
-		c.send(local, c.lacks(local))
-		return
+		reader = local
 	}
 	target := c.w.Target + c.w.TargetPerToken*c.p.Len
 	if reader == nil || len(c.sent) == 0 && c.reading(reader) > readMost*c.eager()*target {
 		c.stuck()
 		return
 	}
-	if c.send(reader, c.lacks(reader)) {
+	if c.send(reader, c.lacks(reader)) && reader.role == Reader {
 		c.plan(c.writer)
 		if r.places && c.out == 1 {
 			c.holds = true
@@ -531,8 +536,14 @@
 // lacks is the remainder of the prompt that an engine is not held to keep.
 func (c *Completion) lacks(e *engine) float64 { return c.p.Len - c.r.keeps(e, &c.p) }
 
-// reading is the expected time at a reader.
-func (c *Completion) reading(e *engine) float64 { return c.r.cost(e, c.lacks(e)) * c.r.pools[0].pace }
+// reading is the expected time of a read at a reader, or at a writer.
+func (c *Completion) reading(e *engine) float64 {
+	at := &c.r.stages[2]
+	if e.role == Reader {
+		at = &c.r.stages[0]
+	}
+	return c.r.cost(e, c.lacks(e)) * at.pace
+}
 
 // eager is the part of every bound that a completion of this value may use.
 func (c *Completion) eager() float64 { return eagerLeast + (1-eagerLeast)*c.rank }
@@ -569,7 +580,7 @@
 		}
 		return readHarm * c.lacks(e), 0
 	})
-	if best == nil || r.cost(best, readHarm*c.lacks(best))*r.pools[1].pace > c.reading(reader) {
+	if best == nil || c.reading(best) > c.reading(reader) {
 		return nil
 	}
 	return best
@@ -602,12 +613,16 @@
 	if c.state != nil {
 		d.claimed = r.keeps(e, &c.p)
 	}
-	expected := d.cost * p.pace
+	if !d.reads {
+		d.stage = 1 + int(min(tokens/localMost, 1))
+	}
+	g := &r.stages[d.stage]
+	expected := d.cost * g.pace
 	if r.now+expected > c.deadline || len(c.sent) >= r.most {
 		c.stuck()
 		return false
 	}
-	late, timeout := math.Max(lateFloor, expected*p.late), 0.0
+	late, timeout := math.Max(lateFloor, expected*g.late), 0.0
 	if d.late = r.now + late; d.reads {
 		timeout = math.Min(late*cutOff, c.deadline-r.now)
 	}
@@ -690,7 +705,7 @@
 
 // measure books a dispatch's time in its pool's pace and late figure and in its engine's slowness.
 func (r *Router) measure(d *dispatch, took float64) {
-	p := d.e.pool
+	p := &r.stages[d.stage]
 	ratio := took / math.Max(1e-6, d.cost*p.pace)
 	if ratio > p.late {
 		p.late *= math.Exp(lateGain * (1 - lateShare))
@@ -747,7 +762,7 @@
 		if !d.overdue {
 			r.measure(d, took)
 		}
-		r.pools[0].read += paceLeast * (c.p.Len - found - r.pools[0].read)
+		r.read += paceLeast * (c.p.Len - found - r.read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 	case o == Finished && found < d.claimed/2:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -183,7 +183,7 @@
 	})
 	t.Run("a silent reader is answered by a second read, once it is ill", func(t *testing.T) {
 		r, b := start(t, nil, fleet()[:3])
-		r.engines[2].memory, r.pools[1].pace = 1e4, 1 // the writer is no way around
+		r.engines[2].memory, r.stages[2].pace = 1e4, 1 // the writer is no way around
 		h := take(r, 1, 3000)
 		silent := b.sends[0]
 		r.judge(r.engines[silent], 1)
@@ -204,7 +204,7 @@
 	})
 	t.Run("jammed readers are read around by writers with room", func(t *testing.T) {
 		r, b := start(t, nil, []Fact{ready(0, 0, 0, longAgo), ready(2, 2, 0, longAgo)})
-		r.pools[1].pace = 1e-5
+		r.stages[2].pace = 1e-5
 		for i := range 6 {
 			take(r, i+1, 9000)
 		}
