--- a/decide/decide.go
+++ b/decide/decide.go
@@ -20,7 +20,6 @@
 	tieBreak    = 0.02   // share of a burden by which chance decides, so that routers don't all pick alike
 	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
 	dispatches  = 3      // a completion, where the settings don't say
-	readHarm    = 3.0    // times; what a long read among streams costs against one at a reader
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
 	crowdTokens = 1200.0 // tokens; cost of an engine with half its memory held, about one short read
@@ -578,7 +577,7 @@
 		if e.role != Mixed && (!r.reads || r.held(e) > roomy*e.memory) {
 			return math.Inf(1), 0
 		}
-		return readHarm * c.lacks(e), 0
+		return c.lacks(e), 0
 	})
 	if best == nil || c.reading(best) > c.reading(reader) {
 		return nil
