--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	failTokens  = 2500.0 // tokens; what a failed dispatch costs, about its time and the wait of the next
 	failMost    = 0.95   // share; an engine is never worse than this, so that all ill means all equal
 	ill         = 0.5    // share of failures above which an engine is logged and left by what waits
+	trialGap    = 0.5    // seconds; an ill engine rests so long between trials, unless there is no other
 	slowGain    = 0.15   // weight of one measured time in an engine's slowness
 	slowFades   = 8.0    // seconds; slowness is forgotten to 1/e in this time
 	paceLeast   = 0.02   // weight of one time in a pool's pace, about the last fifty
@@ -365,7 +366,7 @@
 		}
 		uncached, far := cost(e)
 		burden := (r.burden(e, uncached) + far) * (1 + tieBreak*r.chance())
-		if c.tried(e) {
+		if c.tried(e) || e.fails > ill && r.now-e.failsAt < trialGap {
 			burden += triedTokens
 		}
 		if burden < least {
