Late counts as a failure only at an engine that has been silent since

An engine that serves others is slow and not gone: under load the late count made engines ill in turns. Should also catch engines stuck in a step; harms when an engine's only work is a very long read.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,7 +38,6 @@
 	failTokens  = 2500.0 // tokens; what a failed dispatch costs, about its time and the wait of the next
 	failMost    = 0.95   // share; an engine is never worse than this, so that all ill means all equal
 	ill         = 0.5    // share of failures above which an engine is logged and left by what waits
-	trialGap    = 0.5    // seconds; an ill engine rests so long between trials, unless there is no other
 	slowGain    = 0.15   // weight of one measured time in an engine's slowness
 	slowFades   = 8.0    // seconds; slowness is forgotten to 1/e in this time
 	paceLeast   = 0.02   // weight of one time in a pool's pace, about the last fifty
@@ -77,6 +76,7 @@
 	written                float64 // tokens it came to keep for this router, in all
 	fails, failsAt         float64 // share of failures, and when it was that
 	slow, slowAt           float64 // log of its time against its pool's, and when
+	heard                  float64 // when it last did what it was asked
 	coldSent, coldAt       float64 // bucket of dispatches while it is cold
 	reportAt               float64
 	reportWork, reportHeld float64 // what it reported last
@@ -290,7 +290,9 @@
 // are cut off or silent, and should catch whatever else makes dispatches to one engine fail. It harms when
 // failures come from the completions: then all look ill, which costs the preference among them.
 func (r *Router) judge(e *engine, failed float64) {
-	e.fails = r.fails(e)
+	if e.fails = r.fails(e); failed == 0 {
+		e.heard = r.now
+	}
 	e.fails += failGain * (failed - e.fails)
 	e.failsAt = r.now
 	if isIll := e.fails > ill; isIll != e.loggedIll {
@@ -366,7 +368,7 @@
 		}
 		uncached, far := cost(e)
 		burden := (r.burden(e, uncached) + far) * (1 + tieBreak*r.chance())
-		if c.tried(e) || e.fails > ill && r.now-e.failsAt < trialGap {
+		if c.tried(e) {
 			burden += triedTokens
 		}
 		if burden < least {
@@ -689,8 +691,10 @@
 			continue
 		}
 		d.overdue = true
-		r.judge(d.e, 1)
 		r.measure(d, r.now-d.at)
+		if d.e.heard < d.at { // silent since, not only slow
+			r.judge(d.e, 1)
+		}
 		switch spare := len(c.sent) < r.most-1 && c.out == 1 && r.fails(d.e) > ill; {
 		case spare && d.reads && r.copies:
 			c.advance()
