--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,7 +15,7 @@
 
 const (
 	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer
-	jam         = 0.5    // latency targets; readers expected to take longer are jammed
+	jam         = 0.3    // latency targets; readers expected to take longer are jammed
 	roomy       = 0.5    // share of memory; a writer with less held may read when readers are jammed
 	tieBreak    = 0.02   // share of a burden by which chance decides, so that routers don't all pick alike
 	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
@@ -26,7 +26,7 @@
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
 	closeTokens = 200e3  // tokens a unit of price; scores this much apart times the price are close
 	closeLeast  = 300.0  // tokens; and so much is close where nearness has no price
-	echo        = 0.5    // share; how far the other routers' work on an engine follows this router's own
+	echo        = 1.0    // share; how far the other routers' work on an engine follows this router's own
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
@@ -50,7 +50,7 @@
 	rateTime    = 4.0    // seconds over which rates are measured
 	fullMost    = 0.95   // share of a writer's memory; what it has no room for is rate-limited
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
-	readMost    = 0.8    // latency targets; what readers are expected to hold longer is rate-limited
+	readMost    = 0.6    // latency targets; what readers are expected to hold longer is rate-limited
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
