--- a/decide/decide.go
+++ b/decide/decide.go
@@ -54,7 +54,7 @@
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
-	probeAge    = 1.0    // seconds; a writer that is picked is probed when its report is older
+	probeAge    = 0.5    // seconds; a writer that is picked is probed when its report is older
 	watchAgain  = 1.0    // seconds between tries to get the list where it must be asked
 	answerGuess = 0.4    // share of the most it may produce that an answer without a hint is taken for
 )
