--- a/decide/decide.go
+++ b/decide/decide.go
@@ -392,6 +392,7 @@
 	late    float64 // when it counts as late
 	stage   int     // 0 a read, 1 a write, 2 a long read at a writer
 	reads   bool    // at a reader
+	own     bool    // reads by itself, at a reader or not
 	out     bool
 	overdue bool
 	ran     bool // may have run
@@ -608,7 +609,7 @@
 func (c *Completion) send(e *engine, tokens float64) bool {
 	r, p := c.r, e.pool
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
-		reads: e.role == Reader, out: true, held: c.p.Len}
+		reads: e.role == Reader, out: true, held: c.p.Len, own: c.state == nil}
 	if !d.reads {
 		d.held += c.answer / 2
 	}
@@ -745,7 +746,9 @@
 	c.r.judge(d.e, 0)
 	c.r.carry(d.e, -d.tokens, 0)
 	d.tokens = 0
-	c.r.learn(d.e, &c.p, 0, -1)
+	if d.own { // what was read here is kept at once, a fetched state only once its answer is written
+		c.r.learn(d.e, &c.p, 0, -1)
+	}
 	c.state = nil
 	c.cancel(n)
 }
@@ -769,7 +772,7 @@
 		r.read += paceLeast * (c.p.Len - found - r.read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
-	case o == Finished && found < d.claimed/2:
+	case o == Finished && (!d.own || found < d.claimed/2):
 		r.learn(d.e, &c.p, d.claimed, found)
 	case o == Full && found == 1:
 		c.state = nil // there was none to fetch
