--- a/decide/decide.go
+++ b/decide/decide.go
@@ -7,6 +7,7 @@
 package decide
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -126,7 +127,7 @@
 
 	asks, reads, places, copies, cancels, probes bool // the list must be asked for, writers may read, ...
 
-	far, farZone float64 // tokens by which a reader outside the writer's cell or zone must be better
+	far, farZone float64 // tokens by which a reader outside the writer's cell, and its zone, must be better
 	away         float64 // and a writer outside this router's zone
 
 	warm, share    float64 // seconds until a started engine is warm, and its share of capacity at the start
@@ -144,18 +145,17 @@
 	if len(s.Workloads) == 0 || len(s.Roles) == 0 {
 		return nil, errors.New("settings: no workloads, or no roles of the machine kinds")
 	}
+	guess := stage{pace: paceGuess, late: lateGuess}
 	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, others: math.Max(0, float64(s.Routers-1)),
-		works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick, most: s.MaxDispatches,
-		asks: s.ListAsked, reads: s.WritersRead, places: s.Places, copies: s.SecondCopies, cancels: s.Cancels,
-		probes: s.Probes && s.ReportByProbe, over: s.OverShare, far: closeness(s.FarPrice),
-		farZone: closeness(s.FarPrice + s.CrossPrice), away: closeness(2 * s.CrossPrice), warm: s.Warm,
-		share: s.ColdShare, budget: s.ColdMultiple * s.ColdWindow, window: s.ColdWindow}
+		works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick,
+		most: cmp.Or(s.MaxDispatches, dispatches), over: s.OverShare, asks: s.ListAsked, reads: s.WritersRead,
+		places: s.Places, copies: s.SecondCopies, cancels: s.Cancels, probes: s.Probes && s.ReportByProbe,
+		far: closeness(s.FarPrice), farZone: closeTokens * s.CrossPrice, away: closeness(2 * s.CrossPrice),
+		warm: s.Warm, share: s.ColdShare, budget: s.ColdMultiple * s.ColdWindow, window: s.ColdWindow,
+		read: localMost, stages: [3]stage{guess, guess, guess}}
 	if s.ComeBack {
 		r.back = math.Min(s.MaxComeBack, comeBack)
 	}
-	if r.most == 0 {
-		r.most = dispatches
-	}
 	for _, w := range s.Workloads {
 		r.greatest = math.Max(r.greatest, w.Value)
 	}
@@ -166,9 +166,6 @@
 		rate := t.Rate / (r.others + 1)
 		r.tenants = append(r.tenants, tenant{rate: rate, bucket: rate * shareBurst})
 	}
-	for i := range r.stages {
-		r.stages[i] = stage{pace: paceGuess, late: lateGuess}
-	}
 	if r.asks {
 		r.do.Watch()
 	}
@@ -391,7 +388,6 @@
 	cost    float64 // expected, in tokens
 	late    float64 // when it counts as late
 	stage   int     // 0 a read, 1 a write, 2 a long read at a writer
-	reads   bool    // at a reader
 	own     bool    // reads by itself, at a reader or not
 	out     bool
 	overdue bool
@@ -449,18 +445,15 @@
 
 // tried tells whether a dispatch to the engine has failed.
 func (c *Completion) tried(e *engine) bool {
-	for i := range c.sent {
-		if c.sent[i].e == e && (!c.sent[i].out || c.sent[i].overdue) && c.state != e {
-			return true
-		}
-	}
-	return false
+	return c.state != e && slices.ContainsFunc(c.sent, func(d dispatch) bool {
+		return d.e == e && (!d.out || d.overdue)
+	})
 }
 
 // mayWrite keeps the rule that no effect happens twice, for a dispatch to a writer: none may have run, or the
 // engine drops repeats of those that may have and still remembers them.
 func (c *Completion) mayWrite(e *engine) bool {
-	return c.w.Effect == Idempotent || c.every(func(d *dispatch) bool {
+	return c.w.Effect == Idempotent || c.every(func(d dispatch) bool {
 		same := c.w.Group == GroupAll || c.w.Group == GroupZone && d.e.zone == e.zone ||
 			c.w.Group == GroupCell && d.e.cell == e.cell
 		return c.w.Effect == Tokened && same && c.r.now+2*c.r.tick < d.at+c.w.Window
@@ -470,17 +463,14 @@
 // harmless tells whether the client may be told that trying again does no harm.
 func (c *Completion) harmless() bool {
 	return c.w.Effect == Idempotent || c.w.Effect == Tokened && c.w.Group == GroupAll ||
-		c.every(func(*dispatch) bool { return false })
+		c.every(func(dispatch) bool { return false })
 }
 
 // every tells whether all dispatches to writers that may have run are of a kind.
-func (c *Completion) every(kind func(*dispatch) bool) bool {
-	for i := range c.sent {
-		if d := &c.sent[i]; !d.reads && (d.out || d.ran) && !kind(d) {
-			return false
-		}
-	}
-	return true
+func (c *Completion) every(kind func(dispatch) bool) bool {
+	return !slices.ContainsFunc(c.sent, func(d dispatch) bool {
+		return d.stage > 0 && (d.out || d.ran) && !kind(d)
+	})
 }
 
 // advance makes the next dispatch: a state that waits goes to a writer; else, on the ordinary path, the
@@ -507,10 +497,7 @@
 		return
 	}
 	reader := c.choose(true, func(e *engine) (float64, float64) {
-		if e.zone != c.writer.zone {
-			return c.lacks(e), r.farZone
-		}
-		return c.lacks(e), distance(e.cell == c.writer.cell, r.far)
+		return c.lacks(e), distance(e.cell == c.writer.cell, r.far) + distance(e.zone == c.writer.zone, r.farZone)
 	})
 	if local := c.aroundJam(reader, mayRead); local != nil {
 		reader = local
@@ -609,15 +596,12 @@
 func (c *Completion) send(e *engine, tokens float64) bool {
 	r, p := c.r, e.pool
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
-		reads: e.role == Reader, out: true, held: c.p.Len, own: c.state == nil}
-	if !d.reads {
-		d.held += c.answer / 2
-	}
+		out: true, held: c.p.Len, own: c.state == nil}
 	if c.state != nil {
 		d.claimed = r.keeps(e, &c.p)
 	}
-	if !d.reads {
-		d.stage = 1 + int(min(tokens/localMost, 1))
+	if e.role != Reader {
+		d.stage, d.held = 1+int(min(tokens/localMost, 1)), c.p.Len+c.answer/2
 	}
 	g := &r.stages[d.stage]
 	expected := d.cost * g.pace
@@ -626,7 +610,7 @@
 		return false
 	}
 	late, timeout := math.Max(lateFloor, expected*g.late), 0.0
-	if d.late = r.now + late; d.reads {
+	if d.late = r.now + late; d.stage == 0 {
 		timeout = math.Min(late*cutOff, c.deadline-r.now)
 	}
 	p.rate.add(r.now, 1)
@@ -635,7 +619,7 @@
 	c.out++
 	r.carry(e, d.tokens, d.held)
 	r.do.Dispatch(c.id, e.id, timeout)
-	if r.probes && !d.reads && !e.probing && r.now-e.reportAt > probeAge {
+	if r.probes && d.stage > 0 && !e.probing && r.now-e.reportAt > probeAge {
 		e.probing = true
 		r.do.Probe(e.id)
 	}
@@ -697,9 +681,9 @@
 			r.judge(d.e, 1)
 		}
 		switch spare := len(c.sent) < r.most-1 && c.out == 1 && r.fails(d.e) > ill; {
-		case spare && d.reads && r.copies:
+		case spare && d.stage == 0 && r.copies:
 			c.advance()
-		case spare && !d.reads && r.cancels && c.w.Effect == Idempotent:
+		case spare && d.stage > 0 && r.cancels && c.w.Effect == Idempotent:
 			r.do.Cancel(c.id, i) // its end sends the state on
 		}
 	}
@@ -788,7 +772,7 @@
 		c.answered = true
 		c.plan(nil)
 	}
-	if c.out == 0 || o == Read && r.copies && c.every(func(d *dispatch) bool { return !d.out }) {
+	if c.out == 0 || o == Read && r.copies && c.every(func(d dispatch) bool { return !d.out }) {
 		c.advance()
 	}
 	c.letGo()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -46,10 +46,14 @@
 		then func(r *Router, c *Completion)
 		want []string
 	}{
-		"on its read":                      {func(*Router, *Completion) {}, []string{"dispatch 2"}},
-		"to another when that drains":      {func(r *Router, _ *Completion) { r.Listed(ListDelta, []Fact{{Engine: 2, Kind: 1}}) }, []string{"dispatch 3"}},
-		"anew when its place was not held": {func(_ *Router, c *Completion) { c.Placed(0, false) }, []string{"dispatch 2"}},
-		"nowhere once the client has left": {func(_ *Router, c *Completion) { c.Left() }, []string{"cancel 0", "release"}},
+		"on its read": {func(*Router, *Completion) {}, []string{"dispatch 2"}},
+		"to another when that drains": {func(r *Router, _ *Completion) {
+			r.Listed(ListDelta, []Fact{{Engine: 2, Kind: 1, Phase: Draining}})
+		}, []string{"dispatch 3"}},
+		"anew when its place was not held": {func(_ *Router, c *Completion) { c.Placed(0, false) },
+			[]string{"dispatch 2"}},
+		"nowhere once the client has left": {func(_ *Router, c *Completion) { c.Left() },
+			[]string{"cancel 0", "release"}},
 		"and is let go when none is left": {func(r *Router, _ *Completion) { r.Listed(ListFull, fleet()[:2]) },
 			[]string{"rate-limit", "release"}},
 	} {
@@ -181,9 +185,32 @@
 		r.Listed(ListDelta, []Fact{ready(2, 1, 0, 5)})
 		assert.Zero(t, r.keeps(r.engines[2], &p), "a new start time empties it too")
 	})
+	t.Run("a fetched text is claimed only once its answer is written, a read one at once", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[:3])
+		h := take(r, 1, 3000)
+		h.Ended(0, Read, 0.1, false, 0, nil)
+		h.Started(1, 0.1)
+		assert.Zero(t, r.keeps(r.engines[2], &h.p))
+		h.Ended(1, Finished, 1, true, 0, nil)
+		assert.Equal(t, 3000.0, r.keeps(r.engines[2], &h.p))
+		h = take(r, 2, 200)
+		require.Equal(t, 2, b.sends[2])
+		h.Started(0, 0.1)
+		assert.Equal(t, 200.0, r.keeps(r.engines[2], &h.p))
+	})
+	t.Run("a slow engine that serves others is not taken for a silent one", func(t *testing.T) {
+		r, _ := start(t, nil, fleet()[:3])
+		r.At(0.5)
+		h, other := take(r, 1, 200), take(r, 2, 200)
+		r.At(4)
+		other.Started(0, 3.5)
+		h.Due()
+		assert.Zero(t, r.fails(r.engines[2]))
+	})
 	t.Run("a silent reader is answered by a second read, once it is ill", func(t *testing.T) {
 		r, b := start(t, nil, fleet()[:3])
 		r.engines[2].memory, r.stages[2].pace = 1e4, 1 // the writer is no way around
+		r.At(0.5)
 		h := take(r, 1, 3000)
 		silent := b.sends[0]
 		r.judge(r.engines[silent], 1)
@@ -214,10 +241,12 @@
 
 func TestStorm(t *testing.T) {
 	for name, change := range map[string]func(*Settings){
-		"as it is":      nil,
-		"places":        func(s *Settings) { s.Places = true },
-		"nothing given": func(s *Settings) { s.SecondCopies, s.Cancels, s.WritersRead, s.Memory = false, false, false, nil },
-		"reports":       func(s *Settings) { s.Columns, s.Tenants = []string{"x0"}, []Tenant{{Rate: 3}} },
+		"as it is": nil,
+		"places":   func(s *Settings) { s.Places = true },
+		"nothing given": func(s *Settings) {
+			s.SecondCopies, s.Cancels, s.WritersRead, s.Memory = false, false, false, nil
+		},
+		"reports": func(s *Settings) { s.Columns, s.Tenants = []string{"x0"}, []Tenant{{Rate: 3}} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(8) {
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -56,7 +56,8 @@
 
 // fleet is two readers (0, 1) and two writers (2, 3), in the cells 0 and 1.
 func fleet() []Fact {
-	return []Fact{ready(0, 0, 0, longAgo), ready(1, 0, 1, longAgo), ready(2, 1, 0, longAgo), ready(3, 1, 1, longAgo)}
+	return []Fact{ready(0, 0, 0, longAgo), ready(1, 0, 1, longAgo),
+		ready(2, 1, 0, longAgo), ready(3, 1, 1, longAgo)}
 }
 
 func start(t *testing.T, change func(*Settings), facts []Fact) (*Router, *book) {
