--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,6 @@
 	crowdRoom   = 1.05   // memory shares; keeps the cost of a full engine finite
 	closeTokens = 200e3  // tokens a unit of price; scores this much apart times the price are close
 	closeLeast  = 300.0  // tokens; and so much is close where nearness has no price
-	echo        = 1.0    // share; how far the other routers' work on an engine follows this router's own
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
@@ -203,7 +202,7 @@
 		}
 		e := r.engines[f.Engine]
 		if e.kept == nil || f.Started > e.started {
-			e.kept, e.fails, e.slow, e.coldSent = map[uint64]claim{}, 0, 0, 0
+			e.kept, e.fails, e.slow, e.coldSent, e.heard = map[uint64]claim{}, 0, 0, 0, 0
 			e.reportAt, e.coldAt = math.Inf(-1), r.now
 		}
 		e.zone, e.cell, e.phase, e.started = f.Zone, f.Cell, f.Phase, f.Started
@@ -259,15 +258,19 @@
 	e.workThen, e.heldThen, e.reportAt = e.work, e.held, r.now
 }
 
-// all is what all routers together have on an engine: own work, and the others' guessed from it and the
-// pool's mean, blended with the report by its age. What was sent since it the others are held to send too.
+// all is what all routers together have on an engine: the others are held to do what this router does, and an
+// engine not yet heard from counts as its pool's average. A report is blended in by its age.
 func (r *Router) all(e *engine, own, poolSum, report, then float64) float64 {
-	guess := own + r.others*(echo*own+(1-echo)*poolSum/math.Max(1, e.pool.size))
-	if math.IsNaN(report) || math.IsInf(e.reportAt, -1) {
-		return guess
+	guess := own
+	if e.heard == 0 {
+		guess = math.Max(own, poolSum/math.Max(1, e.pool.size))
 	}
+	guess *= 1 + r.others
 	trust := math.Exp((e.reportAt - r.now) / reportFades)
-	return trust*math.Max(own, report+(own-then)*(1+echo*r.others)) + (1-trust)*guess
+	if math.IsNaN(report) || trust == 0 {
+		return guess
+	}
+	return trust*math.Max(own, report+(own-then)*(1+r.others)) + (1-trust)*guess
 }
 
 // held is the memory that all routers' completions hold on an engine.
@@ -329,11 +332,8 @@
 // told: less than half of a claim, and its other claims go too. That guards against emptied caches and should
 // catch any wrong table; it harms when one text alone was pushed out.
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
-	lost := found >= 0 && claimed >= proofLeast && found < claimed/2
-	if lost {
-		r.do.Log(fmt.Sprintf("engine %d lost kept text: %.0f of %.0f tokens found", e.id, found, claimed))
-	}
-	if lost || len(e.kept) > claimsMost {
+	if found >= 0 && claimed >= proofLeast && found < claimed/2 || len(e.kept) > claimsMost {
+		r.do.Log(fmt.Sprintf("engine %d: drops %d claims, %.0f of %.0f found", e.id, len(e.kept), found, claimed))
 		e.kept = map[uint64]claim{}
 	}
 	e.written += p.Len - math.Max(found, 0)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -7,7 +7,10 @@
 	"cherryhub/decide"
 )
 
-// parseSettings reads the settings; unknown keys are skipped, an absent optional key means that the site lacks the thing.
+var roles = map[string]decide.Role{"read": decide.Reader, "write": decide.Writer, "both": decide.Mixed}
+
+// parseSettings reads the settings; unknown keys are skipped, an absent optional key means that the site
+// lacks the thing.
 func parseSettings(text []byte) (decide.Settings, error) {
 	var raw struct {
 		Balancers  int     `json:"balancers"`
@@ -72,7 +75,7 @@
 		FarPrice: fam.TransferPrice, CrossPrice: raw.Prices.CrossZone,
 	}
 	for _, stage := range fam.StageOfKind {
-		role, known := map[string]decide.Role{"read": decide.Reader, "write": decide.Writer, "both": decide.Mixed}[stage]
+		role, known := roles[stage]
 		if !known {
 			return s, fmt.Errorf("settings: stage-of-kind %q is none of read, write, both", stage)
 		}
