--- a/decide/decide.go
+++ b/decide/decide.go
@@ -88,14 +88,13 @@
 type pool struct {
 	size       float64 // engines ready
 	work, held float64 // tokens out, all engines
-	rate       meter   // dispatches
+	rate       meter   // reads ended and answers begun; failures come too fast to tell what an engine can do
 }
 
 // stage is what is measured of one kind of dispatch: a read, a write, or a long read at a writer.
 type stage struct {
-	pace  float64 // seconds a token of expected cost
-	paces float64 // how many were measured
-	late  float64 // times the expected time that only lateShare take longer than
+	pace, paces float64 // seconds a token of expected cost, and how many were measured
+	late        float64 // times the expected time that only lateShare take longer than
 }
 
 // meter measures a rate a second.
@@ -360,7 +359,7 @@
 	var best *engine
 	r, least := c.r, math.Inf(1)
 	for _, e := range r.engines {
-		if e.phase != Ready || (e.role == Reader) != reads || !reads && !c.mayWrite(e) || r.cold(e) {
+		if e.phase != Ready || (e.role == Reader) != reads || !c.maySend(e) || r.cold(e) {
 			continue
 		}
 		uncached, far := cost(e)
@@ -450,9 +449,9 @@
 	})
 }
 
-// mayWrite keeps the rule that no effect happens twice, for a dispatch to a writer: none may have run, or the
-// engine drops repeats of those that may have and still remembers them.
-func (c *Completion) mayWrite(e *engine) bool {
+// maySend keeps the rule that no effect happens twice, readers included: no dispatch to a writer may have run,
+// or the engine drops repeats of those that may have and still remembers them.
+func (c *Completion) maySend(e *engine) bool {
 	return c.w.Effect == Idempotent || c.every(func(d dispatch) bool {
 		same := c.w.Group == GroupAll || c.w.Group == GroupZone && d.e.zone == e.zone ||
 			c.w.Group == GroupCell && d.e.cell == e.cell
@@ -477,7 +476,7 @@
 // writer is picked first, a small remainder is read there, and a reader reads a larger one.
 func (c *Completion) advance() {
 	r := c.r
-	if c.answered || c.began || c.out > 0 && !r.copies {
+	if c.answered || c.began || c.out > 0 && !(r.copies && c.w.Effect == Idempotent) {
 		return
 	}
 	if c.state != nil {
@@ -580,7 +579,7 @@
 func (c *Completion) write() {
 	r, w := c.r, c.writer
 	c.plan(nil)
-	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.mayWrite(w) || r.cold(w) {
+	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.maySend(w) || r.cold(w) {
 		w = c.choose(false, func(e *engine) (float64, float64) {
 			return 0, distance(e.cell == c.state.cell, r.far)
 		})
@@ -594,7 +593,7 @@
 
 // send makes a dispatch if one is left and the time left exceeds what it will take; else it gives up.
 func (c *Completion) send(e *engine, tokens float64) bool {
-	r, p := c.r, e.pool
+	r := c.r
 	d := dispatch{e: e, at: r.now, tokens: tokens, claimed: c.p.Len - tokens, cost: r.cost(e, tokens),
 		out: true, held: c.p.Len, own: c.state == nil}
 	if c.state != nil {
@@ -613,7 +612,6 @@
 	if d.late = r.now + late; d.stage == 0 {
 		timeout = math.Min(late*cutOff, c.deadline-r.now)
 	}
-	p.rate.add(r.now, 1)
 	e.coldSent++
 	c.sent = append(c.sent, d)
 	c.out++
@@ -681,10 +679,10 @@
 			r.judge(d.e, 1)
 		}
 		switch spare := len(c.sent) < r.most-1 && c.out == 1 && r.fails(d.e) > ill; {
-		case spare && d.stage == 0 && r.copies:
+		case spare && d.stage == 0 && r.copies && c.w.Effect == Idempotent:
 			c.advance()
-		case spare && d.stage > 0 && r.cancels && c.w.Effect == Idempotent:
-			r.do.Cancel(c.id, i) // its end sends the state on
+		case spare && r.cancels && (d.stage == 0 || c.w.Effect == Idempotent):
+			r.do.Cancel(c.id, i) // its end sends the completion on
 		}
 	}
 	if !c.answered {
@@ -728,6 +726,7 @@
 		c.r.measure(d, took)
 	}
 	c.r.judge(d.e, 0)
+	d.e.pool.rate.add(c.r.now, 1)
 	c.r.carry(d.e, -d.tokens, 0)
 	d.tokens = 0
 	if d.own { // what was read here is kept at once, a fetched state only once its answer is written
@@ -756,6 +755,7 @@
 		r.read += paceLeast * (c.p.Len - found - r.read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
+		d.e.pool.rate.add(r.now, 1)
 	case o == Finished && (!d.own || found < d.claimed/2):
 		r.learn(d.e, &c.p, d.claimed, found)
 	case o == Full && found == 1:
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -95,7 +95,43 @@
 	}
 }
 
+func TestEffectsBindReadsToo(t *testing.T) {
+	for name, c := range map[string]struct {
+		work int
+		want []string
+	}{
+		"idempotent is read a second time":                       {0, []string{"dispatch 1"}},
+		"non-idempotent is taken back, then read elsewhere":      {1, []string{"cancel 0", "dispatch 1"}},
+		"tokened is taken back, too, as its copy may be foreign": {2, []string{"cancel 0", "dispatch 1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, fleet()[:3])
+			r.engines[2].memory, r.stages[2].pace = 1e4, 1
+			r.judge(r.engines[1], 1) // tips the choice of the reader
+			r.At(0.5)
+			h := r.Take(1, prompt(c.work, 3000))
+			require.Equal(t, []string{"dispatch 0"}, b.flush())
+			r.judge(r.engines[0], 1)
+			r.judge(r.engines[0], 1)
+			r.At(2)
+			h.Due()
+			if c.work > 0 {
+				h.Ended(0, Cancelled, 1.5, false, 0, nil)
+			}
+			assert.Equal(t, c.want, b.flush())
+		})
+	}
+}
+
 func TestRules(t *testing.T) {
+	t.Run("fast failures don't raise what a cold engine gets", func(t *testing.T) {
+		r, _ := start(t, nil, fleet()[2:])
+		for i := range 100 {
+			r.At(float64(i) / 100)
+			r.Take(uint64(i), prompt(0, 100)).Ended(0, Unreachable, 0, false, 0, nil)
+		}
+		assert.Zero(t, r.pools[1].rate.now(1))
+	})
 	t.Run("answered before the client timeout, late events ignored", func(t *testing.T) {
 		r, b := start(t, nil, fleet()[2:3])
 		h := r.Take(1, prompt(0, 200))
