--- a/decide/decide.go
+++ b/decide/decide.go
@@ -465,10 +465,10 @@
 		c.every(func(dispatch) bool { return false })
 }
 
-// every tells whether all dispatches to writers that may have run are of a kind.
+// every tells whether all dispatches that are out or may have run are of a kind.
 func (c *Completion) every(kind func(dispatch) bool) bool {
 	return !slices.ContainsFunc(c.sent, func(d dispatch) bool {
-		return d.stage > 0 && (d.out || d.ran) && !kind(d)
+		return (d.out || d.stage > 0 && d.ran) && !kind(d)
 	})
 }
 
@@ -772,7 +772,7 @@
 		c.answered = true
 		c.plan(nil)
 	}
-	if c.out == 0 || o == Read && r.copies && c.every(func(d dispatch) bool { return !d.out }) {
+	if c.out == 0 || o == Read && r.copies && c.every(func(d dispatch) bool { return !d.out || d.stage == 0 }) {
 		c.advance()
 	}
 	c.letGo()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -124,6 +124,14 @@
 }
 
 func TestRules(t *testing.T) {
+	t.Run("a non-idempotent completion whose read is out is aborted, not rate-limited", func(t *testing.T) {
+		r, b := start(t, nil, fleet()[:3])
+		r.engines[2].memory = 1e4
+		h := r.Take(1, prompt(1, 3000))
+		r.At(7.996)
+		h.Due()
+		assert.Equal(t, []string{"dispatch 0", "abort", "cancel 0"}, b.flush())
+	})
 	t.Run("fast failures don't raise what a cold engine gets", func(t *testing.T) {
 		r, _ := start(t, nil, fleet()[2:])
 		for i := range 100 {
