--- a/decide/decide.go
+++ b/decide/decide.go
@@ -449,8 +449,8 @@
 	})
 }
 
-// maySend keeps the rule that no effect happens twice, readers included: no dispatch to a writer may have run,
-// or the engine drops repeats of those that may have and still remembers them.
+// maySend keeps the rule that no effect happens twice, readers included: nothing may have run or be out, or
+// the engine drops repeats of what may have run and still remembers it.
 func (c *Completion) maySend(e *engine) bool {
 	return c.w.Effect == Idempotent || c.every(func(d dispatch) bool {
 		same := c.w.Group == GroupAll || c.w.Group == GroupZone && d.e.zone == e.zone ||
