--- a/decide/api.go
+++ b/decide/api.go
@@ -18,8 +18,7 @@
 	SecondCopies  bool     // two dispatches of a completion may be out together
 	Cancels       bool     // a dispatch may be cancelled
 	MaxDispatches int
-	ComeBack      bool    // clients are told when to come back
-	MaxComeBack   float64 // the longest wait that a client obeys
+	MaxComeBack   float64 // the longest come-back time that clients obey, 0 where they are told none
 	ListAsked     bool    // the list of engines comes only when asked for
 	ColdShare     float64 // an engine starts at this share of its capacity or more
 	Warm          float64 // and is warm after this time
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer
-	jam         = 0.3    // latency targets; readers expected to take longer are jammed
+	localMost   = 250.0  // tokens; an uncached remainder up to this is read at the writer, in about one step
+	jam         = 0.3    // latency targets; readers expected to take longer are jammed: half of what is let in
 	roomy       = 0.5    // share of memory; a writer with less held may read when readers are jammed
 	tieBreak    = 0.02   // share of a burden by which chance decides, so that routers don't all pick alike
 	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
@@ -45,12 +45,15 @@
 	lateGuess   = 4.0    // times the expected time that counts as late until it is measured
 	lateShare   = 0.03   // share of dispatches that are to be late
 	lateGain    = 0.2    // log steps by which the late figure moves
+	lateLeast   = 1.5    // times; the late figure stays above, since times vary by half at any load
+	ratioMost   = 4.0    // times; a measured time counts as no longer in the pace: a jam is not the pace
+	ratioLeast  = 0.1    // times; and as no shorter in an engine's slowness
 	lateFloor   = 0.25   // seconds; nothing is late before, a lost packet and a full step take as long
 	cutOff      = 3.0    // times late; a read that is out for longer is given up
 	rateTime    = 4.0    // seconds over which rates are measured
-	fullMost    = 0.95   // share of a writer's memory; what it has no room for is rate-limited
+	fullMost    = 0.95   // share of a writer's memory; past it growing answers push others out
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
-	readMost    = 0.6    // latency targets; what readers are expected to hold longer is rate-limited
+	readMost    = 0.6    // latency targets; a longer read is rate-limited, as the write needs the rest
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
@@ -123,7 +126,7 @@
 	back     float64 // the first come-back time, 0 where none is told
 	over     float64 // what is left of the value beyond a tenant's share
 
-	asks, reads, places, copies, cancels, probes bool // the list must be asked for, writers may read, ...
+	reads, places, copies, cancels, probes bool // what is allowed: that writers read, ...
 
 	far, farZone float64 // tokens by which a reader outside the writer's cell, and its zone, must be better
 	away         float64 // and a writer outside this router's zone
@@ -146,14 +149,12 @@
 	guess := stage{pace: paceGuess, late: lateGuess}
 	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, others: math.Max(0, float64(s.Routers-1)),
 		works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick,
-		most: cmp.Or(s.MaxDispatches, dispatches), over: s.OverShare, asks: s.ListAsked, reads: s.WritersRead,
-		places: s.Places, copies: s.SecondCopies, cancels: s.Cancels, probes: s.Probes && s.ReportByProbe,
-		far: closeness(s.FarPrice), farZone: closeTokens * s.CrossPrice, away: closeness(2 * s.CrossPrice),
-		warm: s.Warm, share: s.ColdShare, budget: s.ColdMultiple * s.ColdWindow, window: s.ColdWindow,
-		read: localMost, stages: [3]stage{guess, guess, guess}}
-	if s.ComeBack {
-		r.back = math.Min(s.MaxComeBack, comeBack)
-	}
+		most: cmp.Or(s.MaxDispatches, dispatches), back: math.Min(s.MaxComeBack, comeBack),
+		over: s.OverShare, reads: s.WritersRead, places: s.Places, copies: s.SecondCopies,
+		cancels: s.Cancels, probes: s.Probes && s.ReportByProbe, far: closeness(s.FarPrice),
+		farZone: closeTokens * s.CrossPrice, away: closeness(2 * s.CrossPrice), warm: s.Warm, share: s.ColdShare,
+		budget: s.ColdMultiple * s.ColdWindow, window: s.ColdWindow, read: localMost,
+		stages: [3]stage{guess, guess, guess}}
 	for _, w := range s.Workloads {
 		r.greatest = math.Max(r.greatest, w.Value)
 	}
@@ -164,7 +165,7 @@
 		rate := t.Rate / (r.others + 1)
 		r.tenants = append(r.tenants, tenant{rate: rate, bucket: rate * shareBurst})
 	}
-	if r.asks {
+	if s.ListAsked {
 		r.do.Watch()
 	}
 	return r, nil
@@ -185,9 +186,7 @@
 // Listed takes news of the engines. A new start time empties what the engine was held to keep.
 func (r *Router) Listed(kind List, facts []Fact) {
 	if kind == ListFailed {
-		if r.asks {
-			r.do.WakeRouter(watchAgain * (0.5 + r.chance()))
-		}
+		r.do.WakeRouter(watchAgain * (0.5 + r.chance())) // only those who ask hear of it
 		return
 	}
 	if kind != ListDelta {
@@ -697,13 +696,13 @@
 	if ratio > p.late {
 		p.late *= math.Exp(lateGain * (1 - lateShare))
 	} else {
-		p.late = math.Max(1.5, p.late*math.Exp(-lateGain*lateShare))
+		p.late = math.Max(lateLeast, p.late*math.Exp(-lateGain*lateShare))
 	}
 	p.paces++
 	gain := math.Max(paceLeast, 1/p.paces)
-	p.pace *= 1 + gain*(math.Min(ratio, 4)-1)
+	p.pace *= 1 + gain*(math.Min(ratio, ratioMost)-1)
 	d.e.slow *= math.Exp((d.e.slowAt - r.now) / slowFades)
-	d.e.slow += slowGain * (math.Log(math.Max(ratio, 0.1)) - d.e.slow)
+	d.e.slow += slowGain * (math.Log(math.Max(ratio, ratioLeast)) - d.e.slow)
 	d.e.slowAt = r.now
 }
 
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -50,7 +50,7 @@
 			{Target: 1, TokenTarget: 0.05, Value: 1, Effect: NonIdempotent},
 			{Target: 1, TokenTarget: 0.05, Value: 1, Effect: Tokened, Group: GroupCell, Window: 2},
 		},
-		WritersRead: true, SecondCopies: true, Cancels: true, MaxDispatches: 4, ComeBack: true, MaxComeBack: 1,
+		WritersRead: true, SecondCopies: true, Cancels: true, MaxDispatches: 4, MaxComeBack: 1,
 		ColdShare: 0.25, Warm: 10, ColdMultiple: 2, ColdWindow: 2, Tick: 0.002}
 }
 
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -68,12 +68,14 @@
 		Memory: fam.KVTokens, Columns: raw.Telemetry.Columns, ReportByProbe: raw.Telemetry.How == "probe",
 		Probes: raw.Limits.Probes, Places: fam.HoldsAllowed, WritersRead: fam.WritersRead,
 		SecondCopies: raw.Limits.SecondCopies, Cancels: raw.Limits.Cancel, MaxDispatches: raw.Limits.SendCap,
-		ComeBack: raw.Limits.RetryAfter, MaxComeBack: raw.Limits.MaxRetryAfter / 1e9,
 		ListAsked: raw.Registry == "on_request",
 		ColdShare: raw.Rules.ColdFrom, Warm: raw.Rules.WarmUp / 1e9,
 		ColdMultiple: raw.Rules.TipMultiple, ColdWindow: raw.Rules.Fall / 1e9,
 		FarPrice: fam.TransferPrice, CrossPrice: raw.Prices.CrossZone,
 	}
+	if raw.Limits.RetryAfter {
+		s.MaxComeBack = raw.Limits.MaxRetryAfter / 1e9
+	}
 	for _, stage := range fam.StageOfKind {
 		role, known := roles[stage]
 		if !known {
