--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -41,6 +41,38 @@
 	}
 }
 
+func TestTiesGoToAll(t *testing.T) {
+	r, b := start(t, nil, fleet()[2:])
+	for i := range 30 {
+		p := prompt(0, 200)
+		p.Session = 0
+		h := r.Take(uint64(i), p)
+		h.Ended(0, Full, 0, true, 1, nil)
+	}
+	assert.Contains(t, b.sends, 2)
+	assert.Contains(t, b.sends, 3)
+}
+
+func TestRestartedRouter(t *testing.T) {
+	for name, c := range map[string]struct {
+		learns bool
+		want   int
+	}{
+		"an empty table sends a long prompt to a reader":  {false, 0},
+		"a table once more filled keeps it at the writer": {true, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, fleet()[:3])
+			p := prompt(0, 3000)
+			if c.learns {
+				r.learn(r.engines[2], &p, 0, -1)
+			}
+			r.Take(1, p)
+			assert.Equal(t, []int{c.want}, b.sends)
+		})
+	}
+}
+
 func TestStateGoesToTheChosenWriter(t *testing.T) {
 	for name, c := range map[string]struct {
 		then func(r *Router, c *Completion)
