--- /dev/null
+++ b/cmd/cherryhub/serve.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/deploy"
+	"cherryhub/internal/config"
+	"cherryhub/internal/router"
+	"cherryhub/internal/standin"
+	"cherryhub/internal/telemetry"
+	pb "cherryhub/proto"
+)
+
+// isUse tells cobra's own errors of use, which have no type.
+func isUse(err error) bool {
+	for _, begin := range [...]string{"unknown command", "unknown flag", "accepts ", "required flag", "requires "} {
+		if strings.HasPrefix(err.Error(), begin) {
+			return true
+		}
+	}
+	return false
+}
+
+// settings reads a file, or an embedded example where none is named.
+func settings(file, example string, m proto.Message) error {
+	if file != "" {
+		if err := config.Load(file, m); err != nil {
+			return usage{err}
+		}
+		return nil
+	}
+	text, err := fs.ReadFile(deploy.Files, example)
+	if err != nil {
+		return fmt.Errorf("embedded settings: %w", err)
+	}
+	return config.Parse(example, text, m)
+}
+
+// untilSignal waits for an interrupt or for a part that ended by itself.
+func untilSignal(fault <-chan error) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-fault:
+		return err
+	}
+}
+
+func serveCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{Use: "serve --config FILE", Short: "Serve as a router until a signal", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			r := &pb.Router{}
+			if err := settings(file, "", r); err != nil {
+				return err
+			}
+			one, err := router.Start(r, telemetry.Log(os.Stderr, r.GetLog()))
+			if err != nil {
+				return err
+			}
+			return errors.Join(untilSignal(one.Fault()), one.Stop())
+		}}
+	c.Flags().StringVar(&file, "config", "", "settings of the router, protobuf text format")
+	c.MarkFlagRequired("config") //nolint:errcheck // the flag is there
+	return c
+}
+
+func enginesCommand() *cobra.Command {
+	var file string
+	var workloads []string
+	c := &cobra.Command{Use: "engines --config FILE", Short: "Start stand-in engines and their list until a signal", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			f := &pb.Fleet{}
+			if err := settings(file, "", f); err != nil {
+				return err
+			}
+			var all []*pb.Workload
+			for _, name := range workloads {
+				all = append(all, &pb.Workload{Name: proto.String(name), Effect: pb.Effect_IDEMPOTENT.Enum()})
+			}
+			fleet, err := standin.Start(f, all, nil)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%v, list at %s\n", fleet, fleet.List.URL())
+			return errors.Join(untilSignal(nil), fleet.Close())
+		}}
+	c.Flags().StringVar(&file, "config", "", "settings of the fleet, protobuf text format")
+	c.Flags().StringSliceVar(&workloads, "models", []string{"chat", "notes"}, "models that the engines serve")
+	c.MarkFlagRequired("config") //nolint:errcheck // the flag is there
+	return c
+}
+
+func demoCommand() *cobra.Command {
+	return &cobra.Command{Use: "demo", Short: "Start stand-in engines and a router on free loopback ports", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			r, f := &pb.Router{}, &pb.Fleet{}
+			if err := errors.Join(settings("", "examples/router.textproto", r), settings("", "examples/fleet.textproto", f)); err != nil {
+				return err
+			}
+			f.ListListen = proto.String("127.0.0.1:0")
+			fleet, err := standin.Start(f, r.GetWorkloads(), nil)
+			if err != nil {
+				return err
+			}
+			r.Listen, r.AdminListen = proto.String("127.0.0.1:0"), proto.String("")
+			r.List = &pb.EngineList{Url: proto.String(fleet.List.URL())}
+			one, err := router.Start(r, telemetry.Log(os.Stderr, r.GetLog()))
+			if err != nil {
+				return errors.Join(err, fleet.Close())
+			}
+			fmt.Printf("%v and a router at http://%s. Try:\n\n  curl -N http://%s/v1/chat/completions -d "+
+				`'{"model":"chat","stream":true,"messages":[{"role":"user","content":"Hello"}]}'`+"\n\n", fleet, one.Address(), one.Address())
+			return errors.Join(untilSignal(one.Fault()), one.Stop(), fleet.Close())
+		}}
+}
+
+func configCommand() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Check or print settings"}
+	var kind string
+	load := func(file string) (proto.Message, error) {
+		m := map[string]proto.Message{"router": &pb.Router{}, "fleet": &pb.Fleet{}, "day": &pb.Day{}}[kind]
+		if m == nil {
+			return nil, usage{fmt.Errorf("--kind %q: wanted router, fleet or day", kind)}
+		}
+		return m, settings(file, "", m)
+	}
+	check := &cobra.Command{Use: "check FILE", Short: "Check a file of settings", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if _, err := load(args[0]); err != nil {
+				return err
+			}
+			fmt.Println(args[0] + ": good")
+			return nil
+		}}
+	show := &cobra.Command{Use: "print FILE", Short: "Print settings with every default in its place", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			m, err := load(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Print(config.Text(config.Effective(m)))
+			return nil
+		}}
+	c.PersistentFlags().StringVar(&kind, "kind", "router", "what the file holds: router, fleet or day")
+	c.AddCommand(check, show)
+	return c
+}
--- /dev/null
+++ b/deploy/deploy.go
@@ -0,0 +1,10 @@
+// Package deploy embeds the example settings and scripted days, so that the program runs without a file. It
+// does nothing by itself; cmd/cherryhub and tests use it.
+package deploy
+
+import "embed"
+
+// Files are the examples and days, by their path below deploy/.
+//
+//go:embed examples/*.textproto
+var Files embed.FS
--- /dev/null
+++ b/internal/config/build.go
@@ -0,0 +1,149 @@
+package config
+
+import (
+	"encoding/hex"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/planner"
+	pb "cherryhub/proto"
+)
+
+func ms(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
+// Seconds is a number of seconds as a duration.
+func Seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+func roleOf(r pb.Role) decide.Role {
+	switch r {
+	case pb.Role_READER:
+		return decide.Reader
+	case pb.Role_WRITER:
+		return decide.Writer
+	}
+	return decide.Mixed
+}
+
+// figures are where load reports are found: where the settings say nothing, vLLM's names.
+func figures(r *pb.LoadReports) engine.Figures {
+	if r == nil {
+		r = &pb.LoadReports{
+			Waiting:    &pb.Figure{Orca: proto.String("named_metrics.num_requests_waiting"), Prometheus: proto.String("vllm:num_requests_waiting")},
+			MemoryHeld: &pb.Figure{Orca: proto.String("named_metrics.kv_cache_usage_perc"), Prometheus: proto.String("vllm:kv_cache_usage_perc")},
+		}
+	}
+	var all engine.Figures
+	for _, f := range [...]struct {
+		column string
+		from   *pb.Figure
+		sum    bool
+	}{{"queue", r.GetWaiting(), true}, {"util", r.GetSlotsUsed(), false}, {"x0", r.GetMemoryHeld(), false},
+		{"x1", r.GetThousandsWaiting(), true}} {
+		if f.from != nil {
+			all = append(all, engine.Figure{Column: f.column, ORCA: f.from.GetOrca(), Prometheus: f.from.GetPrometheus(), Sum: f.sum})
+		}
+	}
+	return all
+}
+
+// Decide are the settings that the planner's module is told.
+func Decide(r *pb.Router) decide.Settings {
+	a, cold := r.GetAllowed(), r.GetCold()
+	s := decide.Settings{Seed: r.GetSeed(), Routers: int(r.GetRouters()), Zone: 0, OverShare: r.GetOverShareValue(),
+		Columns: figures(r.GetReports()).Columns(), Probes: a.GetProbes(), Places: a.GetPlaces(), WritersRead: a.GetWritersRead(),
+		Cancels: a.GetCancels(), MaxDispatches: int(a.GetMaxDispatches()), MaxComeBack: a.GetMaxComeBackS(),
+		ColdShare: cold.GetStartShare(), Warm: cold.GetWarmS(), ColdMultiple: cold.GetFallMultiple(), ColdWindow: cold.GetFallWindowS(),
+		Tick: r.GetTiming().GetTickMs() / 1000, FarPrice: r.GetPrices().GetFarState(), CrossPrice: r.GetPrices().GetCrossZone()}
+	if s.Seed == 0 {
+		s.Seed = uint64(time.Now().UnixNano())
+	}
+	for _, m := range r.GetMachines() {
+		s.Roles = append(s.Roles, roleOf(m.GetRole()))
+		s.Memory = append(s.Memory, m.GetMemoryTokens())
+	}
+	for _, w := range r.GetWorkloads() {
+		s.Workloads = append(s.Workloads, decide.Workload{Target: w.GetLatencyTargetS(),
+			TargetPerToken: w.GetLatencyTargetSPer_1000Tokens() / 1000, TokenTarget: w.GetTokenTargetMs() / 1000, Value: w.GetValue(),
+			Effect: effectOf(w.GetEffect()), Group: groupOf(w.GetGroup()), Window: w.GetRememberedS()})
+	}
+	for _, t := range r.GetTenants() {
+		s.Tenants = append(s.Tenants, decide.Tenant{Rate: t.GetSharePerS()})
+	}
+	return s
+}
+
+func effectOf(e pb.Effect) decide.Effect {
+	switch e {
+	case pb.Effect_IDEMPOTENT:
+		return decide.Idempotent
+	case pb.Effect_TOKENED:
+		return decide.Tokened
+	}
+	return decide.NonIdempotent
+}
+
+func groupOf(g pb.Group) decide.Group {
+	switch g {
+	case pb.Group_ZONE:
+		return decide.GroupZone
+	case pb.Group_CELL:
+		return decide.GroupCell
+	}
+	return decide.GroupAll
+}
+
+// Planner are the planner's options; its log is the caller's to add.
+func Planner(r *pb.Router) planner.Options {
+	o := planner.Options{Zone: r.GetZone(), MaxEngines: int(r.GetList().GetMaxEngines()), Mailbox: int(r.GetLimits().GetMailbox()),
+		MaxCompletions: int(r.GetLimits().GetMaxCompletions())}
+	for _, m := range r.GetMachines() {
+		o.Machines = append(o.Machines, planner.Machine{Name: m.GetName(), Role: roleOf(m.GetRole())})
+	}
+	return o
+}
+
+// Engine are the engine client's options.
+func Engine(r *pb.Router) engine.Options {
+	t := r.GetTiming()
+	return engine.Options{ConnectTimeout: ms(t.GetConnectTimeoutMs()), ProbeTimeout: ms(t.GetProbeTimeoutMs()),
+		IdleConn: Seconds(t.GetEngineIdleS()), StreamIdle: Seconds(t.GetStreamIdleS()),
+		MaxEventBytes: int(r.GetLimits().GetMaxEventBytes()), SourceAddress: r.GetSourceAddress(), Figures: figures(r.GetReports())}
+}
+
+// Edge are the edge's options; listener, engines, log and observer are the caller's to add.
+func Edge(r *pb.Router) edge.Options {
+	l, t, id := r.GetLimits(), r.GetTiming(), r.GetIdentity()
+	o := edge.Options{
+		Limits: edge.Limits{MaxBodyBytes: int(l.GetMaxBodyBytes()), MaxHeaderBytes: int(l.GetMaxHeaderBytes()),
+			MaxDepth: int(l.GetMaxDepth()), MaxMessages: int(l.GetMaxMessages()), MaxAnswerBytes: int(l.GetMaxAnswerBytes())},
+		Identity: edge.Identity{SessionFrom: id.GetSessionFrom(), SharedFromLeading: id.GetSharedFromLeading(),
+			BytesPerToken: id.GetBytesPerToken()},
+		Margin: ms(t.GetAnswerMarginMs()), LetGo: Seconds(r.GetLetGoS()), StreamMost: Seconds(t.GetStreamMostS()),
+		ClientWrite: Seconds(t.GetClientWriteS()), Idle: Seconds(t.GetIdleS()), ComeBack: Seconds(r.GetAllowed().GetMaxComeBackS()),
+	}
+	if len(o.Identity.SessionFrom) == 0 {
+		o.Identity.SessionFrom = []string{"prompt_cache_key", "user"}
+	}
+	for _, w := range r.GetWorkloads() {
+		models := w.GetModels()
+		if len(models) == 0 {
+			models = []string{w.GetName()}
+		}
+		o.Workloads = append(o.Workloads, edge.Workload{Name: w.GetName(), Models: models, Timeout: Seconds(w.GetClientTimeoutS()),
+			Effect: effectOf(w.GetEffect()), Most: int(w.GetMaxAnswerTokens())})
+	}
+	for _, t := range r.GetTenants() {
+		tenant := edge.Tenant{Name: t.GetName(), Anonymous: t.GetAnonymous()}
+		for _, k := range t.GetKeySha256() {
+			var sum [32]byte
+			hex.Decode(sum[:], []byte(k)) //nolint:errcheck // checked with the settings
+			tenant.Keys = append(tenant.Keys, sum)
+		}
+		o.Tenants = append(o.Tenants, tenant)
+	}
+	return o
+}
--- /dev/null
+++ b/internal/edge/completion.go
@@ -0,0 +1,385 @@
+package edge
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+)
+
+// completion is one that was taken. Its handler waits for the planner's final answer or for the dispatch
+// that wins; dispatches run beside it and may outlive it.
+type completion struct {
+	e     *Edge
+	id    uint64
+	name  string
+	chat  *chat
+	work  int
+	key   string
+	trace string
+
+	won   atomic.Int32        // 0: open; n+1: dispatch n's answer is the client's; answered: it has another one
+	final chan link.Order     // the planner's final answer
+	begun chan *run           // the dispatch that won
+	fault chan *engine.Result // the engines' word that the completion itself is at fault
+
+	mu      sync.Mutex
+	runs    []*run
+	out     int // dispatches that run
+	handled bool
+	state   *holding // the state that waits at a reader
+	place   *holding
+}
+
+const answered = -1
+
+// run is one dispatch.
+type run struct {
+	c      *completion
+	n      int
+	engine link.Engine
+	reads  bool
+	at     time.Time
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stream *engine.Stream
+	state  *holding // that a write fetches
+}
+
+// holding is a state or a place held at an engine under an id.
+type holding struct {
+	address, id string
+	params      []byte // kv_transfer_params, of a state
+	timer       *time.Timer
+	used        bool // a write that is out fetches it
+}
+
+// Order is of link.Edge.
+func (e *Edge) Order(o link.Order) {
+	if o.Kind == link.Probe {
+		e.probe(o.Engine)
+		return
+	}
+	c := e.find(o.Completion)
+	if c == nil {
+		if o.Kind == link.Dispatch {
+			e.planner.Tell(link.Fact{Kind: link.Ended, Completion: o.Completion, Dispatch: o.Dispatch, Outcome: decide.Moot})
+		}
+		return
+	}
+	switch o.Kind {
+	case link.Dispatch:
+		c.dispatch(o)
+	case link.HoldPlace:
+		c.holdPlace(o)
+	case link.Release:
+		c.release("planner")
+	case link.Cancel:
+		c.cancel(o.Dispatch)
+	case link.RateLimit, link.Abort:
+		select {
+		case c.final <- o:
+		default: // it has one
+		}
+	}
+}
+
+// probe asks an engine for its figures, beside everything else.
+func (e *Edge) probe(at link.Engine) {
+	e.runs.Add(1)
+	go func() {
+		defer e.runs.Add(-1)
+		report, err := e.o.Engines.Probe(e.base, at.Address)
+		if err != nil {
+			e.o.Log.Debug("probe failed", "engine", at.Address, "err", err)
+		}
+		e.planner.Tell(link.Fact{Kind: link.Probed, Engine: at.Index, Outcome: engine.ProbeOutcome(err), Report: report})
+	}()
+}
+
+// dispatch starts a dispatch; the planner's goroutine calls it, so that a cancel that follows finds it.
+func (c *completion) dispatch(o link.Order) {
+	r := &run{c: c, n: o.Dispatch, engine: o.Engine, reads: o.Reads, at: time.Now()}
+	r.ctx, r.cancel = context.WithCancelCause(c.e.base)
+	c.mu.Lock()
+	if c.handled || c.won.Load() == answered {
+		c.mu.Unlock()
+		r.cancel(engine.ErrCancelled)
+		c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: decide.Moot})
+		return
+	}
+	c.runs = append(c.runs, r)
+	c.out++
+	if !r.reads && c.state != nil {
+		r.state = c.state
+		r.state.used = true
+		r.state.timer.Stop()
+	}
+	if c.place != nil {
+		c.place.used = true
+		c.place.timer.Stop()
+	}
+	c.mu.Unlock()
+	c.e.runs.Add(1)
+	timeout := time.Duration(o.Timeout * float64(time.Second))
+	if r.reads {
+		go r.read(timeout)
+	} else {
+		go r.write(timeout)
+	}
+}
+
+func (r *run) call(body []byte) *engine.Call {
+	c := r.c
+	return &engine.Call{Address: r.engine.Address, ID: c.name + "-" + strconv.Itoa(r.n), Key: c.key, Trace: c.trace, Body: body,
+		Heard: func(report []float64) {
+			c.e.planner.Tell(link.Fact{Kind: link.Probed, Engine: r.engine.Index, Outcome: decide.Finished, Report: report})
+		}}
+}
+
+func (r *run) read(timeout time.Duration) {
+	c := r.c
+	timer := time.AfterFunc(timeout, func() { r.cancel(engine.ErrTimedOut) })
+	call := r.call(engine.ReadBody(c.chat.fields))
+	result := c.e.o.Engines.Read(r.ctx, call)
+	timer.Stop()
+	switch {
+	case result.Outcome == decide.Read:
+		c.hold(&holding{address: r.engine.Address, id: call.ID, params: result.State})
+	case mayRun(result.Outcome) && !result.Done:
+		// It may have been read all the same: the state is let go by its id.
+		c.e.release(&holding{address: r.engine.Address, id: call.ID}, "unsure")
+	}
+	r.ended(result)
+}
+
+// mayRun tells whether a dispatch with that outcome may have been carried out.
+func mayRun(o decide.Outcome) bool {
+	return o != decide.Full && o != decide.Unreachable && o != decide.Moot
+}
+
+func (r *run) write(timeout time.Duration) {
+	c := r.c
+	var state []byte
+	if r.state != nil {
+		state = r.state.params
+	}
+	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(engine.WriteBody(c.chat.fields, state, c.e.o.Workloads[c.work].Most)), timeout)
+	if stream == nil {
+		c.giveBack(r.state, result.Outcome == decide.Full && result.Found == 1)
+		r.ended(result)
+		return
+	}
+	c.giveBack(r.state, true) // a first token: the state was fetched
+	c.placeTaken(r.engine.Address)
+	if !c.won.CompareAndSwap(0, int32(r.n)+1) {
+		result = stream.Close()
+		result.Done = true
+		r.ended(result)
+		return
+	}
+	r.stream = stream
+	c.e.planner.Tell(link.Fact{Kind: link.Started, Completion: c.id, Dispatch: r.n, Took: time.Since(r.at).Seconds()})
+	c.begun <- r // there is room for the one that wins
+}
+
+// ended tells the planner of a dispatch's end, and the handler where the completion is at fault.
+func (r *run) ended(result *engine.Result) {
+	c, took := r.c, time.Since(r.at)
+	if result.Err != nil {
+		c.e.o.Log.Debug("dispatch failed", "completion", c.name, "dispatch", r.n, "engine", r.engine.Address, "outcome", result.Outcome, "err", result.Err)
+	}
+	if result.Body != nil && c.won.CompareAndSwap(0, answered) {
+		c.fault <- result
+	}
+	r.cancel(engine.ErrCancelled)
+	c.e.o.Observe.Dispatched(r.reads, result.Outcome, took)
+	c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: result.Outcome, Took: took.Seconds(),
+		Done: result.Done, Found: result.Found, Report: result.Report})
+	c.mu.Lock()
+	if c.out--; c.out == 0 && c.place != nil {
+		c.arm(c.place)
+	}
+	c.mu.Unlock()
+	c.settle()
+	c.e.runs.Add(-1)
+}
+
+// placeTaken ends the place held for a write that has begun: its own writer took it, another one never will.
+func (c *completion) placeTaken(address string) {
+	c.mu.Lock()
+	h := c.place
+	c.place = nil
+	c.mu.Unlock()
+	if h != nil && h.address != address {
+		c.e.release(h, "elsewhere")
+	}
+}
+
+// settle forgets the completion once nothing can come of it: its client is answered, no dispatch runs and
+// nothing is held.
+func (c *completion) settle() {
+	c.mu.Lock()
+	over := c.handled && c.out == 0 && c.state == nil && c.place == nil
+	c.mu.Unlock()
+	if over {
+		c.e.forget(c.id)
+	}
+}
+
+// cancel ends a dispatch that hasn't won. One that has is the client's.
+func (c *completion) cancel(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.runs {
+		if r.n == n && c.won.Load() != int32(n)+1 {
+			r.cancel(engine.ErrCancelled)
+		}
+	}
+}
+
+// cancelAll ends all dispatches.
+func (c *completion) cancelAll(why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.runs {
+		r.cancel(why)
+	}
+}
+
+// hold keeps a state that waits. If nothing takes it, and no order lets it go, the edge does, before the
+// limit: it guards against a planner that is stalled or gone. It would harm one that is only slow, by a read.
+func (c *completion) hold(h *holding) {
+	c.mu.Lock()
+	if c.state != nil { // the one before was never taken
+		go c.e.release(c.state, "replaced")
+	}
+	c.state = h
+	c.arm(h)
+	c.mu.Unlock()
+}
+
+func (c *completion) arm(h *holding) {
+	h.used = false
+	h.timer = time.AfterFunc(c.e.o.LetGo*letGoPart/100, func() {
+		c.mu.Lock()
+		mine := !h.used && (c.state == h || c.place == h)
+		if c.state == h && mine {
+			c.state = nil
+		}
+		if c.place == h && mine {
+			c.place = nil
+		}
+		c.mu.Unlock()
+		if mine {
+			c.e.release(h, "limit")
+			c.settle()
+		}
+	})
+}
+
+// letGoPart is the part of the limit, in percent, after which the edge lets go by itself: the rest is for
+// the call's way.
+const letGoPart = 60
+
+// giveBack ends a write's use of a state: it is gone, or waits again.
+func (c *completion) giveBack(h *holding, gone bool) {
+	if h == nil {
+		return
+	}
+	c.mu.Lock()
+	if c.state == h {
+		if gone {
+			c.state = nil
+		} else {
+			c.arm(h)
+		}
+	}
+	c.mu.Unlock()
+}
+
+// release lets go of all that is held and not in use.
+func (c *completion) release(reason string) {
+	c.mu.Lock()
+	state, place := c.state, c.place
+	if state != nil && state.used {
+		state = nil
+	}
+	if state != nil {
+		c.state = nil
+		state.timer.Stop()
+	}
+	if c.place = nil; place != nil {
+		place.timer.Stop()
+	}
+	c.mu.Unlock()
+	for _, h := range [...]*holding{state, place} {
+		if h != nil {
+			c.e.release(h, reason)
+		}
+	}
+	c.settle()
+}
+
+// releaseTries are the waits between tries to release: an engine that is cut off gets it once it hears again.
+var releaseTries = [...]time.Duration{0, 50, 100, 200, 400, 800, 1600, 3200, 6400}
+
+// release has an engine drop what it holds, beside everything else.
+func (e *Edge) release(h *holding, reason string) {
+	e.o.Observe.Released(reason)
+	e.runs.Add(1)
+	go func() {
+		defer e.runs.Add(-1)
+		var err error
+		for _, wait := range releaseTries {
+			time.Sleep(wait * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			err = e.o.Engines.Release(ctx, h.address, h.id)
+			cancel()
+			if err == nil {
+				return
+			}
+			if e.ending.Load() && e.base.Err() != nil {
+				break
+			}
+		}
+		e.o.Log.Warn("state not released", "engine", h.address, "id", h.id, "err", err)
+	}()
+}
+
+// holdPlace asks a writer for a place.
+func (c *completion) holdPlace(o link.Order) {
+	h := &holding{address: o.Engine.Address, id: c.name + "-place"}
+	c.e.runs.Add(1)
+	go func() {
+		defer c.e.runs.Add(-1)
+		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
+		defer cancel()
+		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt)
+		if err != nil {
+			c.e.o.Log.Debug("no place", "completion", c.name, "engine", h.address, "err", err)
+			c.e.release(h, "unsure")
+		}
+		if held && err == nil {
+			c.mu.Lock()
+			c.place = h
+			h.used = true
+			h.timer = time.AfterFunc(0, func() {})
+			late := c.handled || c.out == 0
+			if late {
+				c.place = nil
+			}
+			c.mu.Unlock()
+			if late {
+				c.e.release(h, "late")
+				c.settle()
+			}
+		}
+		c.e.planner.Tell(link.Fact{Kind: link.Placed, Completion: c.id, Dispatch: o.Dispatch, Held: held && err == nil})
+	}()
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,249 @@
+// Package edge holds the clients' connections: an OpenAI-style chat API on Hertz over netpoll, streamed and
+// not. It tells a planner each event (link.Fact) and does what the planner orders (link.Order): dispatches,
+// releases, final answers. It chooses no engine. What it guards by itself, so that a stalled planner harms no
+// one: a taken completion is answered before its client timeout, a running stream goes on, and a state that no
+// dispatch uses is let go in time. cmd/cherryhub starts it.
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/netpoll"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+)
+
+// Workload is a kind of completion as the edge needs to know it.
+type Workload struct {
+	Name    string
+	Models  []string
+	Timeout time.Duration // client timeout: to the first token, or the whole if not streamed
+	Effect  decide.Effect
+	Most    int // tokens of an answer where the client doesn't say
+}
+
+// Tenant is one of those who share the engines.
+type Tenant struct {
+	Name      string
+	Keys      [][32]byte // SHA-256 of its API keys
+	Anonymous bool       // clients without a key are this one
+}
+
+// Limits bound what is taken.
+type Limits struct {
+	MaxBodyBytes, MaxHeaderBytes, MaxDepth, MaxMessages, MaxAnswerBytes int
+}
+
+// Identity says how a completion's parts are known.
+type Identity struct {
+	SessionFrom       []string // body fields in order
+	SharedFromLeading bool
+	BytesPerToken     float64
+}
+
+// Options of an edge.
+type Options struct {
+	Listener    net.Listener
+	Workloads   []Workload
+	Tenants     []Tenant // none: no keys are asked for
+	Limits      Limits
+	Identity    Identity
+	Margin      time.Duration // kept for the way of the final answer
+	LetGo       time.Duration // a state is held no longer while no dispatch is out
+	StreamMost  time.Duration
+	ClientWrite time.Duration // a client that doesn't read so long has left
+	Idle        time.Duration // a client's connection between two completions
+	ComeBack    time.Duration // the advice to one who was not taken, 0 for none
+	Engines     *engine.Client
+	Log         *slog.Logger
+	Observe     Observer
+}
+
+// Observer hears what an edge does; calls must not block.
+type Observer interface {
+	Took(workload int)
+	Answered(workload int, how Answer, took time.Duration)
+	FirstToken(workload int, took time.Duration)
+	Dispatched(reads bool, o decide.Outcome, took time.Duration)
+	Refused(status int)
+	Released(reason string)
+}
+
+// Answer is how a completion ended for its client.
+type Answer uint8
+
+// The answers. Gone is none: the client left.
+const (
+	Finished Answer = iota
+	RateLimited
+	Aborted
+	Gone
+)
+
+func (a Answer) String() string {
+	return [...]string{"finished", "rate-limited", "aborted", "left"}[a]
+}
+
+// Edge serves clients.
+type Edge struct {
+	o       Options
+	planner link.Planner
+	server  *server.Hertz
+	base    context.Context // of all dispatches
+	end     context.CancelCauseFunc
+	models  map[string]int
+	tenants map[[32]byte]int
+	nobody  int // the tenant of clients without a key, -1 for none
+	start   string
+	next    atomic.Uint64
+	active  atomic.Int64 // handlers of taken completions
+	runs    atomic.Int64 // dispatches and releases
+	ending  atomic.Bool
+	shards  [64]shard
+}
+
+type shard struct {
+	mu   sync.Mutex
+	open map[uint64]*completion
+}
+
+// New makes an edge. Its planner must be set with Plan before Serve.
+func New(o Options) *Edge {
+	e := &Edge{o: o, models: map[string]int{}, tenants: map[[32]byte]int{}, nobody: -1}
+	e.base, e.end = context.WithCancelCause(context.Background())
+	var nonce [4]byte
+	rand.Read(nonce[:]) //nolint:errcheck // never fails
+	e.start = hex.EncodeToString(nonce[:])
+	for i := range e.shards {
+		e.shards[i].open = map[uint64]*completion{}
+	}
+	for i, w := range o.Workloads {
+		for _, m := range w.Models {
+			e.models[m] = i
+		}
+	}
+	if len(o.Tenants) == 0 {
+		e.nobody = 0
+	}
+	for i, t := range o.Tenants {
+		for _, key := range t.Keys {
+			e.tenants[key] = i
+		}
+		if t.Anonymous {
+			e.nobody = i
+		}
+	}
+	hlog.SetLevel(hlog.LevelFatal)
+	e.server = server.New(server.WithListener(o.Listener), server.WithTransport(netpoll.NewTransporter),
+		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithDisablePrintRoute(true),
+		server.WithMaxRequestBodySize(o.Limits.MaxBodyBytes), server.WithMaxHeaderBytes(o.Limits.MaxHeaderBytes),
+		server.WithReadTimeout(o.Idle), server.WithIdleTimeout(0), server.WithKeepAliveTimeout(o.Idle),
+		server.WithWriteTimeout(o.ClientWrite), server.WithExitWaitTime(time.Second), server.WithRedirectTrailingSlash(false))
+	e.server.POST("/v1/chat/completions", e.complete)
+	e.server.GET("/v1/models", e.listModels)
+	e.server.NoRoute(func(_ context.Context, rc *app.RequestContext) {
+		e.refuse(rc, &apiError{status: 404, kind: "invalid_request_error", code: "unknown_url",
+			message: fmt.Sprintf("unknown call: %s %s", rc.Method(), rc.Path())})
+	})
+	e.server.NoMethod(func(_ context.Context, rc *app.RequestContext) {
+		e.refuse(rc, &apiError{status: 405, kind: "invalid_request_error", code: "method_not_allowed",
+			message: fmt.Sprintf("%s is not allowed at %s", rc.Method(), rc.Path())})
+	})
+	return e
+}
+
+// Plan sets the planner.
+func (e *Edge) Plan(p link.Planner) { e.planner = p }
+
+// Serve serves clients until Stop.
+func (e *Edge) Serve() error {
+	if err := e.server.Run(); err != nil {
+		return fmt.Errorf("edge at %s: %w", e.o.Listener.Addr(), err)
+	}
+	return nil
+}
+
+// Active is how many taken completions have no final answer yet, and how many dispatches and releases run.
+func (e *Edge) Active() (completions, dispatches int) {
+	return int(e.active.Load()), int(e.runs.Load())
+}
+
+// Stop takes nothing new, lets what is taken end until the context does, ends the rest with an abort, and
+// waits for states to be released.
+func (e *Edge) Stop(ctx context.Context) error {
+	e.ending.Store(true)
+	e.await(ctx, func() bool { return e.active.Load() == 0 })
+	e.end(engine.ErrCancelled)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLast)
+	defer cancel()
+	clean := e.await(last, func() bool { return e.active.Load() == 0 && e.runs.Load() == 0 })
+	// No stream is left: what connections there are wait for a next call. Shutdown would wait with them.
+	idle, off := context.WithTimeout(last, time.Millisecond)
+	defer off()
+	err := e.server.Shutdown(idle)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = nil
+	}
+	if !clean {
+		return fmt.Errorf("edge stopped with %d completions and %d dispatches left", e.active.Load(), e.runs.Load())
+	}
+	if err != nil {
+		return fmt.Errorf("edge: stop server: %w", err)
+	}
+	return nil
+}
+
+// stopLast is the time for the last aborts and releases at a stop.
+const stopLast = 2 * time.Second
+
+func (e *Edge) await(ctx context.Context, so func() bool) bool {
+	for !so() {
+		select {
+		case <-ctx.Done():
+			return so()
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	return true
+}
+
+func (e *Edge) shard(id uint64) *shard { return &e.shards[id%uint64(len(e.shards))] }
+
+func (e *Edge) find(id uint64) *completion {
+	s := e.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open[id]
+}
+
+func (e *Edge) add(c *completion) {
+	s := e.shard(c.id)
+	s.mu.Lock()
+	s.open[c.id] = c
+	s.mu.Unlock()
+}
+
+func (e *Edge) forget(id uint64) {
+	s := e.shard(id)
+	s.mu.Lock()
+	delete(s.open, id)
+	s.mu.Unlock()
+}
+
+// name is a completion's name outside: the router's start, which tells routers and restarts apart, and its number.
+func (e *Edge) name(id uint64) string { return "ch-" + e.start + "-" + strconv.FormatUint(id, 10) }
--- /dev/null
+++ b/internal/edge/handler.go
@@ -0,0 +1,414 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+)
+
+// TimeoutHeaders are where a client states its timeout, in seconds: ours, and that of OpenAI's own clients.
+var timeoutHeaders = [...]string{"Cherryhub-Timeout", "X-Stainless-Timeout"}
+
+// complete serves one chat call.
+func (e *Edge) complete(ctx context.Context, rc *app.RequestContext) {
+	arrived := time.Now()
+	body, bad := e.body(rc)
+	if bad == nil && e.ending.Load() {
+		bad = &apiError{status: 503, kind: "server_error", code: "stopping", message: "this router is stopping"}
+		rc.SetConnectionClose()
+	}
+	var tenant, work int
+	if bad == nil {
+		tenant, bad = e.tenantOf(string(rc.Request.Header.Peek("Authorization")))
+	}
+	var ch *chat
+	if bad == nil {
+		ch, bad = parseChat(body, e.o.Limits, e.o.Identity)
+	}
+	if bad == nil {
+		work, bad = e.workloadOf(ch.model)
+	}
+	if bad != nil {
+		e.refuse(rc, bad)
+		return
+	}
+
+	w := &e.o.Workloads[work]
+	timeout, whole := w.Timeout, e.o.StreamMost
+	if stated := statedTimeout(rc); stated > 0 {
+		timeout, whole = min(timeout, stated), min(whole, stated)
+	}
+	if !ch.stream {
+		whole = min(whole, timeout)
+	}
+	margin := min(e.o.Margin, timeout/4)
+	most := ch.most
+	if most == 0 {
+		most = w.Most
+	}
+	id := e.next.Add(1)
+	c := &completion{e: e, id: id, name: e.name(id), chat: ch, work: work,
+		key: string(rc.Request.Header.Peek("Idempotency-Key")), trace: string(rc.Request.Header.Peek("Traceparent")),
+		final: make(chan link.Order, 1), begun: make(chan *run, 1), fault: make(chan *engine.Result, 1)}
+	if c.key == "" {
+		c.key = c.name
+	}
+	rc.Response.Header.Set("X-Request-Id", c.name)
+	e.add(c)
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	if !e.planner.Offer(link.Fact{Kind: link.Take, Completion: id, Deadline: arrived.Add(timeout - margin),
+		Prompt: &decide.Prompt{Workload: work, Tenant: tenant, Session: ch.session, Shared: ch.shared, SharedLen: ch.sharedLen,
+			Len: ch.prompt, MaxAnswer: float64(most)}}) {
+		e.forget(id)
+		setComeBack(rc, e.o.ComeBack.Seconds())
+		e.refuse(rc, e.busy())
+		return
+	}
+	e.o.Observe.Took(work)
+	how := c.serve(ctx, rc, arrived, arrived.Add(timeout-margin/2), arrived.Add(whole-margin/2))
+	e.o.Observe.Answered(work, how, time.Since(arrived))
+	c.mu.Lock()
+	c.handled = true
+	c.mu.Unlock()
+	c.settle()
+}
+
+// serve waits for what becomes of the completion and answers the client.
+func (c *completion) serve(ctx context.Context, rc *app.RequestContext, arrived, deadline, end time.Time) Answer {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case r := <-c.begun:
+		return c.relay(ctx, rc, r, arrived, end)
+	case result := <-c.fault:
+		c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
+		return Finished
+	case o := <-c.final:
+		if c.won.CompareAndSwap(0, answered) {
+			return c.giveFinal(rc, o, deadline)
+		}
+	case <-ctx.Done():
+		if c.won.CompareAndSwap(0, answered) {
+			c.leave()
+			return Gone
+		}
+	case <-timer.C:
+		// The planner is late. That guards against one that is stalled; it answers in time by itself.
+		if c.won.CompareAndSwap(0, answered) {
+			c.leave()
+			return c.giveFinal(rc, link.Order{Kind: link.Abort}, deadline)
+		}
+	}
+	select { // in the same instant an engine's answer won
+	case r := <-c.begun:
+		return c.relay(ctx, rc, r, arrived, end)
+	case result := <-c.fault:
+		c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
+		return Finished
+	}
+}
+
+// leave tells the planner that no answer is owed any more, and ends the dispatches.
+func (c *completion) leave() {
+	c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
+	c.cancelAll(engine.ErrCancelled)
+}
+
+// giveFinal gives the planner's final answer.
+func (c *completion) giveFinal(rc *app.RequestContext, o link.Order, deadline time.Time) Answer {
+	if o.Kind == link.RateLimit {
+		setComeBack(rc, o.ComeBack)
+		c.e.refuse(rc, &apiError{status: 429, kind: "requests", code: "rate_limit_exceeded",
+			message: "rate-limited: trying again is harmless"})
+		return RateLimited
+	}
+	c.noRetry(rc)
+	err := &apiError{status: 503, kind: "server_error", code: "aborted", message: "aborted: it is not known what was done"}
+	if time.Until(deadline) <= c.e.o.Margin {
+		err = &apiError{status: 504, kind: "server_error", code: "client_timeout", message: "aborted: the client timeout is spent"}
+	}
+	c.e.refuse(rc, err)
+	return Aborted
+}
+
+// noRetry keeps OpenAI's clients from trying again by themselves what may not run twice.
+func (c *completion) noRetry(rc *app.RequestContext) {
+	if c.e.o.Workloads[c.work].Effect == decide.NonIdempotent {
+		rc.Response.Header.Set("X-Should-Retry", "false")
+	}
+}
+
+func setComeBack(rc *app.RequestContext, seconds float64) {
+	if seconds > 0 {
+		rc.Response.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(seconds))))
+		rc.Response.Header.Set("Retry-After-Ms", strconv.Itoa(int(math.Ceil(seconds*1000))))
+	}
+}
+
+// relay hands a dispatch's answer to the client, event by event or as a whole.
+func (c *completion) relay(ctx context.Context, rc *app.RequestContext, r *run, arrived, end time.Time) Answer {
+	c.e.o.Observe.FirstToken(c.work, time.Since(arrived))
+	stop := context.AfterFunc(ctx, func() { r.cancel(engine.ErrCancelled) })
+	defer stop()
+	timer := time.AfterFunc(time.Until(end), func() { r.cancel(engine.ErrTimedOut) })
+	defer timer.Stop()
+	var how Answer
+	if c.chat.stream {
+		how = c.relayStream(ctx, rc, r)
+	} else {
+		how = c.relayWhole(ctx, rc, r)
+	}
+	if how == Gone {
+		r.cancel(engine.ErrCancelled)
+		c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
+	}
+	result := r.stream.Close()
+	result.Done = true
+	r.ended(result)
+	return how
+}
+
+// relayStream writes events as they come. A client that reads slowly holds up its own stream alone: what is
+// in memory is one event and the sockets' buffers, and a write that waits too long ends it.
+func (c *completion) relayStream(ctx context.Context, rc *app.RequestContext, r *run) Answer {
+	h := &rc.Response.Header
+	h.SetContentType("text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	rc.Response.HijackWriter(resp.NewChunkedBodyWriter(&rc.Response, rc.GetWriter()))
+	var out []byte
+	for {
+		event, err := r.stream.Next()
+		switch {
+		case err == nil && event.Usage && !c.chat.usage:
+			continue
+		case err == nil:
+			out = append(append(append(out, "data: "...), event.Data...), "\n\n"...)
+			if r.stream.More() && len(out) < flushMost {
+				continue
+			}
+		case errors.Is(err, io.EOF):
+			out = append(out, "data: [DONE]\n\n"...)
+		case ctx.Err() != nil:
+			return Gone
+		default:
+			out = append(append(append(out, "data: "...), c.broken(r, err).body()...), "\n\n"...)
+		}
+		if _, fault := rc.Write(out); fault != nil || rc.Flush() != nil {
+			return Gone
+		}
+		out = out[:0]
+		switch {
+		case errors.Is(err, io.EOF):
+			return Finished
+		case err != nil:
+			return Aborted
+		}
+	}
+}
+
+// flushMost bounds what is gathered of events that came together, in bytes.
+const flushMost = 16 << 10
+
+// broken is the error event of an answer that ended in the middle.
+func (c *completion) broken(r *run, err error) *apiError {
+	cause := context.Cause(r.ctx)
+	switch {
+	case errors.Is(cause, engine.ErrTimedOut):
+		return &apiError{kind: "server_error", code: "client_timeout", message: "aborted: the time for the answer is spent"}
+	case errors.Is(cause, engine.ErrCancelled):
+		return &apiError{kind: "server_error", code: "stopping", message: "aborted: this router is stopping"}
+	}
+	c.e.o.Log.Info("answer broke", "completion", c.name, "engine", r.engine.Address, "err", err)
+	return &apiError{kind: "server_error", code: "answer_broken", message: "aborted: the answer broke on its way"}
+}
+
+// relayWhole gathers the events into one answer.
+func (c *completion) relayWhole(ctx context.Context, rc *app.RequestContext, r *run) Answer {
+	var whole gathered
+	for {
+		event, err := r.stream.Next()
+		if err == nil {
+			err = whole.add(event.Data, c.e.o.Limits.MaxAnswerBytes)
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF):
+			rc.Response.Header.SetContentType("application/json")
+			usage, told := r.stream.Usage()
+			rc.Write(whole.body(usage, told)) //nolint:errcheck // into the response's buffer
+			return Finished
+		case ctx.Err() != nil:
+			return Gone
+		}
+		c.noRetry(rc)
+		bad := c.broken(r, err)
+		bad.status = 503
+		if bad.code == "client_timeout" {
+			bad.status = 504
+		}
+		c.e.refuse(rc, bad)
+		return Aborted
+	}
+}
+
+// statedTimeout is the time that the client says it waits, 0 if it doesn't.
+func statedTimeout(rc *app.RequestContext) time.Duration {
+	for _, name := range timeoutHeaders {
+		if s, err := strconv.ParseFloat(string(rc.Request.Header.Peek(name)), 64); err == nil && s > 0 && s < 1e6 {
+			return time.Duration(s * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+func (e *Edge) busy() *apiError {
+	return &apiError{status: 429, kind: "requests", code: "router_busy", message: "not taken: this router has too many completions open"}
+}
+
+func (e *Edge) tenantOf(authorization string) (int, *apiError) {
+	key, given := strings.CutPrefix(authorization, "Bearer ")
+	if given && len(e.tenants) > 0 {
+		if i, known := e.tenants[sha256.Sum256([]byte(key))]; known {
+			return i, nil
+		}
+		return 0, &apiError{status: 401, kind: "invalid_request_error", code: "invalid_api_key", message: "this API key is not known here"}
+	}
+	if e.nobody < 0 {
+		return 0, &apiError{status: 401, kind: "invalid_request_error", code: "invalid_api_key", message: "an API key is wanted: Authorization: Bearer KEY"}
+	}
+	return e.nobody, nil
+}
+
+func (e *Edge) workloadOf(model string) (int, *apiError) {
+	if i, known := e.models[model]; known {
+		return i, nil
+	}
+	return 0, &apiError{status: 404, kind: "invalid_request_error", code: "model_not_found", param: "model",
+		message: fmt.Sprintf("the model %.100q does not exist here", model)}
+}
+
+// body reads the call's body, no more than is allowed.
+func (e *Edge) body(rc *app.RequestContext) ([]byte, *apiError) {
+	most := e.o.Limits.MaxBodyBytes
+	tooLarge := &apiError{status: 413, kind: "invalid_request_error", code: "body_too_large",
+		message: fmt.Sprintf("the body is longer than %d bytes", most)}
+	if rc.Request.Header.ContentLength() > most {
+		return nil, tooLarge
+	}
+	if !rc.Request.IsBodyStream() {
+		return rc.Request.Body(), nil
+	}
+	var buf bytes.Buffer
+	if n := rc.Request.Header.ContentLength(); n > 0 {
+		buf.Grow(n + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(rc.RequestBodyStream(), int64(most)+1))
+	switch {
+	case n > int64(most):
+		return nil, tooLarge
+	case err != nil:
+		return nil, &apiError{status: 400, kind: "invalid_request_error", code: "body_broken", message: "the body ended early"}
+	}
+	return buf.Bytes(), nil
+}
+
+// refuse answers with an error. An engine's own word (no kind) goes on as it is if it is JSON.
+func (e *Edge) refuse(rc *app.RequestContext, err *apiError) {
+	if err.status < 500 && err.status != 429 {
+		e.o.Observe.Refused(err.status)
+	}
+	if err.code == "body_too_large" || err.code == "body_broken" {
+		e.hangUp(rc, err)
+		return
+	}
+	rc.SetStatusCode(err.status)
+	rc.Response.Header.SetContentType("application/json")
+	rc.Response.SetBody(err.body())
+}
+
+// hangUp answers a call whose body is not read to its end and closes the connection, after reading on for a
+// moment: closed with bytes unread the answer would be lost to a reset.
+func (e *Edge) hangUp(rc *app.RequestContext, err *apiError) {
+	body := err.body()
+	conn := rc.GetConn()
+	fmt.Fprintf(connWriter{conn}, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		err.status, "Content Too Large", len(body), body)
+	conn.Flush()                       //nolint:errcheck // the connection is closed next
+	conn.SetReadTimeout(lingerFor / 4) //nolint:errcheck // as above
+	until := time.Now().Add(lingerFor)
+	for left := lingerMost; left > 0 && time.Now().Before(until); {
+		if _, fault := conn.Peek(1); fault != nil {
+			break
+		}
+		n := conn.Len()
+		conn.Skip(n)   //nolint:errcheck // so many are there
+		conn.Release() //nolint:errcheck // as above
+		left -= n
+	}
+	rc.Response.HijackWriter(nothing{})
+	conn.Close() //nolint:errcheck // done with it
+}
+
+// A client that goes on sending a body that was refused is read so long and so much.
+const (
+	lingerFor  = 400 * time.Millisecond
+	lingerMost = 8 << 20
+)
+
+func (a *apiError) body() []byte {
+	if a.kind == "" {
+		if json.Valid([]byte(a.message)) {
+			return []byte(a.message)
+		}
+		a = &apiError{kind: "invalid_request_error", code: "refused_by_engine", message: a.message}
+	}
+	text := func(s string) any {
+		if s == "" {
+			return nil
+		}
+		return s
+	}
+	b, err := json.Marshal(map[string]any{"error": map[string]any{
+		"message": a.message, "type": a.kind, "param": text(a.param), "code": text(a.code)}})
+	if err != nil {
+		return []byte(`{"error":{"message":"error","type":"server_error","param":null,"code":null}}`)
+	}
+	return b
+}
+
+// listModels serves GET /v1/models.
+func (e *Edge) listModels(_ context.Context, rc *app.RequestContext) {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int    `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list", Data: []model{}}
+	for _, w := range e.o.Workloads {
+		for _, m := range w.Models {
+			list.Data = append(list.Data, model{m, "model", 0, "cherryhub"})
+		}
+	}
+	rc.JSON(200, list)
+}
--- /dev/null
+++ b/internal/engine/body.go
@@ -0,0 +1,63 @@
+package engine
+
+import "strconv"
+
+// Field is one field of a chat call's body.
+type Field struct {
+	Name   string
+	Quoted []byte // the name as it stands in the body
+	JSON   []byte // the value
+}
+
+// askForState is what a read asks for, as vLLM's nixl connector takes it.
+const askForState = `{"do_remote_decode":true,"do_remote_prefill":false,"remote_engine_id":null,` +
+	`"remote_block_ids":null,"remote_host":null,"remote_port":null}`
+
+// ReadBody is the body of a read: the call with one token, not streamed.
+func ReadBody(fields []Field) []byte {
+	b := begin(fields, func(name string) bool {
+		switch name {
+		case "max_tokens", "max_completion_tokens", "stream", "stream_options", "kv_transfer_params":
+			return false
+		}
+		return true
+	})
+	return append(b, `"max_tokens":1,"max_completion_tokens":1,"stream":false,"kv_transfer_params":`+askForState+`}`...)
+}
+
+// WriteBody is the body of a write, streamed with its usage; state is a read's kv_transfer_params, nil for
+// none. most is the most tokens of the answer where the client named none.
+func WriteBody(fields []Field, state []byte, most int) []byte {
+	named := false
+	b := begin(fields, func(name string) bool {
+		switch name {
+		case "stream", "stream_options", "kv_transfer_params":
+			return false
+		case "max_tokens", "max_completion_tokens":
+			named = true
+		}
+		return true
+	})
+	if !named {
+		b = strconv.AppendInt(append(b, `"max_tokens":`...), int64(most), 10)
+		b = append(b, ',')
+	}
+	if state != nil {
+		b = append(append(append(b, `"kv_transfer_params":`...), state...), ',')
+	}
+	return append(b, `"stream":true,"stream_options":{"include_usage":true}}`...)
+}
+
+func begin(fields []Field, keep func(name string) bool) []byte {
+	size := 256
+	for _, f := range fields {
+		size += len(f.Quoted) + len(f.JSON) + 2
+	}
+	b := append(make([]byte, 0, size), '{')
+	for _, f := range fields {
+		if keep(f.Name) {
+			b = append(append(append(append(b, f.Quoted...), ':'), f.JSON...), ',')
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,281 @@
+// Package engine speaks the engines' protocol: the two-phase chat call of vLLM (a read with max_tokens 1 and
+// kv_transfer_params that ask for remote decode; a write that carries the answer's kv_transfer_params and
+// streams), load reports in endpoint-load-metrics headers (ORCA) and in /metrics (Prometheus text). Calls for
+// releasing a state and holding a place are cherryhub's own. It gives each end of a dispatch its
+// decide.Outcome (docs/outcomes.md) and decides nothing else. internal/edge calls it.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"cherryhub/decide"
+)
+
+// Causes with which a caller ends a dispatch's context.
+var (
+	ErrCancelled = errors.New("cancelled")
+	ErrTimedOut  = errors.New("timed out")
+	ErrIdle      = errors.New("no token within the stream's idle time")
+)
+
+// errMalformed is an answer that the protocol doesn't allow.
+var errMalformed = errors.New("malformed answer")
+
+// errTruncated is a stream that ended before its final event.
+var errTruncated = errors.New("stream ended before [DONE]")
+
+// Options of a client. All must be given but SourceAddress.
+type Options struct {
+	ConnectTimeout time.Duration
+	ProbeTimeout   time.Duration
+	IdleConn       time.Duration // an unused connection is kept so long
+	StreamIdle     time.Duration // the longest time between two tokens
+	MaxEventBytes  int           // of one event of a stream, of a read's answer and of an error's body
+	SourceAddress  string        // dial from this address, empty for any
+	Figures        Figures       // where load reports are found
+}
+
+// Client makes dispatches. It is safe for concurrent use.
+type Client struct {
+	o    Options
+	http *http.Client
+}
+
+// maxHeaderBytes bounds an engine's answer header.
+const maxHeaderBytes = 64 << 10
+
+// NewClient makes a client of net/http's transport and not of Hertz's client, which can't end a call that
+// waits for its header when the context ends.
+func NewClient(o Options) (*Client, error) {
+	d := &net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: 15 * time.Second}
+	if o.SourceAddress != "" {
+		ip := net.ParseIP(o.SourceAddress)
+		if ip == nil {
+			return nil, fmt.Errorf("engine client: source address %q is no IP address", o.SourceAddress)
+		}
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return &Client{o: o, http: &http.Client{
+		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 512,
+			IdleConnTimeout: o.IdleConn, MaxResponseHeaderBytes: maxHeaderBytes, ReadBufferSize: 2 << 10, WriteBufferSize: 4 << 10},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}, nil
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Call is one dispatch.
+type Call struct {
+	Address string // host:port
+	ID      string // X-Request-Id: names the dispatch, and the state that a read leaves
+	Key     string // Idempotency-Key, empty for none
+	Trace   string // traceparent, empty for none
+	Body    []byte
+	Heard   func(report []float64) // is called with a report in the header, nil for none
+}
+
+// Result is how a dispatch, or its beginning, ended.
+type Result struct {
+	Outcome decide.Outcome
+	Done    bool      // the completion has its answer: Status and Body are the client's
+	Found   float64   // prompt tokens found kept; with Full, 1 if there was no state to fetch
+	Report  []float64 // a load report that came at the end
+	State   []byte    // of a read: kv_transfer_params
+	Status  int       // HTTP status, 0 for none
+	Body    []byte    // with Done: the engine's word for what is wrong with the completion
+	Err     error     // what happened, nil if all went well
+}
+
+// post sends a chat call. The body can't be read again (no GetBody): net/http would otherwise repeat a call
+// that carries an Idempotency-Key by itself when the connection breaks, which is for the planner to decide.
+func (c *Client) post(ctx context.Context, call *Call) (*http.Response, *Result) {
+	var wrote atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+call.Address+"/v1/chat/completions",
+		io.NopCloser(bytes.NewReader(call.Body)))
+	if err != nil {
+		return nil, &Result{Outcome: decide.Moot, Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+	}
+	req.ContentLength = int64(len(call.Body))
+	h := req.Header
+	h["Content-Type"] = []string{"application/json"}
+	h["X-Request-Id"] = []string{call.ID}
+	h["Endpoint-Load-Metrics-Format"] = []string{"TEXT"}
+	if call.Key != "" {
+		h["Idempotency-Key"] = []string{call.Key}
+	}
+	if call.Trace != "" {
+		h["Traceparent"] = []string{call.Trace}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, &Result{Outcome: outcomeOf(ctx, err, wrote.Load()), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+	}
+	if call.Heard != nil {
+		if report := c.o.Figures.fromORCA(resp.Header.Get("Endpoint-Load-Metrics")); report != nil {
+			call.Heard(report)
+		}
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, int64(c.o.MaxEventBytes)))
+	return nil, statusResult(call.Address, resp.StatusCode, body)
+}
+
+// statusResult is what an error status means. A 400, 413 or 422 is an answer to the client: the completion is
+// at fault, no engine would take it, and it says nothing of the engine's health.
+func statusResult(address string, status int, body []byte) *Result {
+	r := &Result{Outcome: decide.Errored, Status: status, Err: fmt.Errorf("dispatch to %s: status %d: %.200s", address, status, body)}
+	switch status {
+	case http.StatusTooManyRequests:
+		r.Outcome = decide.Full
+	case http.StatusFailedDependency:
+		r.Outcome, r.Found = decide.Full, 1
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		r.Outcome, r.Done, r.Body = decide.Cancelled, true, body
+	}
+	return r
+}
+
+// outcomeOf is the outcome of a call that ended with an error. sent tells whether some of it was written.
+func outcomeOf(ctx context.Context, err error, sent bool) decide.Outcome {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrTimedOut), errors.Is(cause, ErrIdle), errors.Is(cause, context.DeadlineExceeded):
+		return decide.TimedOut
+	case cause != nil:
+		return decide.Cancelled
+	}
+	var op *net.OpError
+	dial := errors.As(err, &op) && op.Op == "dial"
+	switch {
+	case errors.Is(err, errMalformed):
+		return decide.Errored
+	case dial && isLocal(err):
+		return decide.Moot
+	case dial, !sent:
+		return decide.Unreachable
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
+		errors.Is(err, syscall.EPIPE), errors.Is(err, errTruncated), errors.As(err, &op),
+		strings.Contains(err.Error(), "server closed idle connection"),
+		strings.Contains(err.Error(), "transport connection broken: EOF"):
+		return decide.Broken
+	}
+	return decide.Errored // such as a header that is too long, or no HTTP at all
+}
+
+// isLocal tells whether a dial failed for want of descriptors or ports here: no fault of the engine.
+func isLocal(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// Read has a reader read the prompt and hold its state.
+func (c *Client) Read(ctx context.Context, call *Call) *Result {
+	resp, bad := c.post(ctx, call)
+	if bad != nil {
+		return bad
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.o.MaxEventBytes)+1))
+	if err == nil && len(body) > c.o.MaxEventBytes {
+		err = fmt.Errorf("%w: over %d bytes", errMalformed, c.o.MaxEventBytes)
+	}
+	if err == nil && !gjson.ValidBytes(body) {
+		err = fmt.Errorf("%w: no JSON", errMalformed)
+	}
+	state := gjson.GetBytes(body, "kv_transfer_params")
+	if err == nil && !state.IsObject() {
+		err = fmt.Errorf("%w: a read without kv_transfer_params", errMalformed)
+	}
+	if err != nil {
+		return &Result{Outcome: outcomeOf(ctx, err, true), Status: resp.StatusCode, Err: fmt.Errorf("read at %s: %w", call.Address, err)}
+	}
+	return &Result{Outcome: decide.Read, Status: resp.StatusCode, State: []byte(state.Raw),
+		Found: gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens").Float()}
+}
+
+// Release has an engine drop the state, or the place, that it holds under a dispatch's id. The call is
+// cherryhub's own. Dropping what isn't held is no error.
+func (c *Client) Release(ctx context.Context, address, id string) error {
+	return c.small(ctx, http.MethodDelete, address, "/v1/kv_states/"+id, nil, nil)
+}
+
+// Hold asks a writer for a place for a completion of so many prompt tokens; the call is cherryhub's own.
+func (c *Client) Hold(ctx context.Context, address, id string, tokens float64) (held bool, err error) {
+	body := []byte(`{"id":` + strconv.Quote(id) + `,"prompt_tokens":` + strconv.FormatFloat(tokens, 'f', 0, 64) + `}`)
+	err = c.small(ctx, http.MethodPost, address, "/v1/kv_places", body, func(answer []byte) error {
+		held = gjson.GetBytes(answer, "held").Bool()
+		return nil
+	})
+	return held, err
+}
+
+// Probe asks an engine for its figures.
+func (c *Client) Probe(ctx context.Context, address string) ([]float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.o.ProbeTimeout)
+	defer cancel()
+	var report []float64
+	err := c.small(ctx, http.MethodGet, address, "/metrics", nil, func(answer []byte) (err error) {
+		report, err = c.o.Figures.fromPrometheus(answer)
+		return err
+	})
+	return report, err
+}
+
+// maxSmall bounds the answer of a call that is no completion.
+const maxSmall = 4 << 20
+
+func (c *Client) small(ctx context.Context, method, address, path string, body []byte, read func([]byte) error) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	if len(body) > 0 {
+		req.Header["Content-Type"] = []string{"application/json"}
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxSmall))
+	if err == nil && resp.StatusCode/100 != 2 && resp.StatusCode != http.StatusNotFound {
+		err = fmt.Errorf("status %d", resp.StatusCode)
+	}
+	if err == nil && read != nil {
+		err = read(answer)
+	}
+	if err != nil {
+		return fmt.Errorf("%s %s at %s: %w", method, path, address, err)
+	}
+	return nil
+}
+
+// ProbeOutcome is the outcome of a probe that ended with err.
+func ProbeOutcome(err error) decide.Outcome {
+	switch {
+	case err == nil:
+		return decide.Finished
+	case errors.Is(err, context.DeadlineExceeded):
+		return decide.TimedOut
+	case isLocal(err):
+		return decide.Finished // nothing was learnt, and the engine is not to blame
+	}
+	return decide.Unreachable
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,257 @@
+// Package fleet follows the list of engines: a list service that pushes it over HTTP, or a file. It tells a
+// planner full lists and changes (link.Listed) and decides nothing. A list that is gone, empty, malformed or
+// stale changes nothing: the last good one stays in force. internal/router starts it.
+//
+// The protocol is cherryhub's own. GET of the list's URL with watch=1 answers with lines of JSON: first the
+// whole list, then changes, and at least each second a line of the kind "alive":
+//
+//	{"kind":"full","epoch":3,"version":41,"engines":[{"address":"10.0.0.7:8000","zone":"a","cell":"a1",
+//	 "machine":"prefill","phase":"ready","start":1764590000123,"age_s":86400}]}
+//	{"kind":"delta","epoch":3,"version":42,"engines":[{"address":"10.0.0.7:8000","phase":"gone"}]}
+//	{"kind":"alive","epoch":3,"version":42}
+//
+// epoch grows with each start of the service, version with each change; a delta's is the one before it plus
+// one. start tells two starts of an engine apart; age_s is its age when the line is sent, left out for long ago.
+// A file holds one line of the kind "full".
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"cherryhub/decide"
+	"cherryhub/internal/link"
+)
+
+// Line is one line of a list service.
+type Line struct {
+	Kind    string   `json:"kind"` // full, delta or alive
+	Epoch   int64    `json:"epoch"`
+	Version int64    `json:"version"`
+	Engines []Engine `json:"engines,omitempty"`
+}
+
+// Engine is one entry of a list.
+type Engine struct {
+	Address string   `json:"address"` // host:port
+	Zone    string   `json:"zone,omitempty"`
+	Cell    string   `json:"cell,omitempty"`
+	Machine string   `json:"machine,omitempty"`
+	Phase   string   `json:"phase"` // ready, draining or gone
+	Start   int64    `json:"start,omitempty"`
+	Age     *float64 `json:"age_s,omitempty"` // seconds
+}
+
+// Limits of what a list may hold and of how long a service may say nothing.
+const (
+	maxLine   = 16 << 20 // bytes
+	quietMost = 4 * time.Second
+)
+
+var phases = map[string]decide.Phase{"ready": decide.Ready, "draining": decide.Draining, "gone": decide.Gone}
+
+var errStale = errors.New("older than the list in force")
+
+// Follower follows one list.
+type Follower struct {
+	url, file   string
+	poll, retry time.Duration
+	most        int
+	tell        func(link.Fact)
+	log         *slog.Logger
+	client      *http.Client
+	epoch       int64 // of the list in force
+	version     int64
+	known       bool
+	last        []byte // of a file
+}
+
+// Options of a follower: one of URL and File.
+type Options struct {
+	URL, File     string
+	Poll, Retry   time.Duration
+	MaxEngines    int
+	SourceAddress string // dial from this address, empty for any
+	Tell          func(link.Fact)
+	Log           *slog.Logger
+}
+
+// New makes a follower.
+func New(o Options) *Follower {
+	d := &net.Dialer{Timeout: time.Second}
+	if ip := net.ParseIP(o.SourceAddress); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return &Follower{url: o.URL, file: o.File, poll: o.Poll, retry: o.Retry, most: o.MaxEngines, tell: o.Tell, log: o.Log,
+		client: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, ResponseHeaderTimeout: quietMost}}}
+}
+
+// Run follows the list until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	trouble := false
+	for ctx.Err() == nil {
+		wait := f.poll
+		var err error
+		if f.file != "" {
+			err = f.read()
+		} else {
+			err = f.watch(ctx)
+			wait = time.Duration(float64(f.retry) * (0.5 + rand.Float64()))
+		}
+		if err != nil && ctx.Err() == nil && !trouble {
+			f.log.Warn("engine list: the last good one stays in force", "err", err)
+		}
+		trouble = err != nil
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+}
+
+// read reads the file if it has changed.
+func (f *Follower) read() error {
+	file, err := os.Open(f.file)
+	if err != nil {
+		return fmt.Errorf("list file: %w", err)
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, maxLine+1))
+	if err != nil {
+		return fmt.Errorf("list file: %w", err)
+	}
+	if bytes.Equal(text, f.last) {
+		return nil
+	}
+	line, err := parse(text, f.most)
+	if err == nil && line.Kind != "full" {
+		err = fmt.Errorf("kind %q, wanted full", line.Kind)
+	}
+	if err == nil {
+		err = f.apply(line)
+	}
+	if err != nil {
+		return fmt.Errorf("list file %s: %w", f.file, err)
+	}
+	f.last = text
+	return nil
+}
+
+// watch reads a list service's lines until it breaks.
+func (f *Follower) watch(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := time.AfterFunc(quietMost, cancel)
+	defer quiet.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url+"?watch=1", nil)
+	if err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("list service %s: status %d", f.url, resp.StatusCode)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for first := true; lines.Scan(); first = false {
+		quiet.Reset(quietMost)
+		line, err := parse(lines.Bytes(), f.most)
+		if err == nil && first && line.Kind != "full" {
+			err = fmt.Errorf("begins with kind %q, wanted full", line.Kind)
+		}
+		if err == nil {
+			err = f.apply(line)
+		}
+		if err != nil {
+			return fmt.Errorf("list service %s: %w", f.url, err)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("list service %s: %w", f.url, err)
+	}
+	return fmt.Errorf("list service %s: closed", f.url)
+}
+
+// parse reads a line and checks all of it.
+func parse(text []byte, most int) (*Line, error) {
+	line := &Line{}
+	if err := json.Unmarshal(text, line); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	switch line.Kind {
+	case "alive", "delta":
+	case "full":
+		if len(line.Engines) == 0 {
+			return nil, errors.New("a full list of no engines is not believed")
+		}
+	default:
+		return nil, fmt.Errorf("kind %q, wanted full, delta or alive", line.Kind)
+	}
+	if len(line.Engines) > most {
+		return nil, fmt.Errorf("%d engines, over the %d of list.max_engines", len(line.Engines), most)
+	}
+	seen := map[string]bool{}
+	for i, e := range line.Engines {
+		host, port, err := net.SplitHostPort(e.Address)
+		n, bad := strconv.Atoi(port)
+		_, phase := phases[e.Phase]
+		switch {
+		case err != nil || host == "" || bad != nil || n < 1 || n > 65535:
+			return nil, fmt.Errorf("engines[%d]: address %q is no host:port", i, e.Address)
+		case !phase:
+			return nil, fmt.Errorf("engines[%d]: phase %q, wanted ready, draining or gone", i, e.Phase)
+		case seen[e.Address]:
+			return nil, fmt.Errorf("engines[%d]: %q is there twice", i, e.Address)
+		}
+		seen[e.Address] = true
+	}
+	return line, nil
+}
+
+// apply takes a line that is whole, unless it is stale or leaves a gap.
+func (f *Follower) apply(l *Line) error {
+	if l.Kind == "alive" {
+		if l.Epoch != f.epoch || l.Version != f.version {
+			return fmt.Errorf("alive at version %d.%d, but %d.%d is in force", l.Epoch, l.Version, f.epoch, f.version)
+		}
+		return nil
+	}
+	older := l.Epoch < f.epoch || l.Epoch == f.epoch && l.Version < f.version
+	switch {
+	case f.known && older:
+		return fmt.Errorf("version %d.%d: %w (%d.%d)", l.Epoch, l.Version, errStale, f.epoch, f.version)
+	case l.Kind == "delta" && (l.Epoch != f.epoch || l.Version != f.version+1):
+		return fmt.Errorf("a change to version %d.%d, but %d.%d is in force", l.Epoch, l.Version, f.epoch, f.version)
+	}
+	f.epoch, f.version, f.known = l.Epoch, l.Version, true
+	list := &link.List{Kind: decide.ListFull}
+	if l.Kind == "delta" {
+		list.Kind = decide.ListDelta
+	}
+	for _, e := range l.Engines {
+		age := -1.0
+		if e.Age != nil {
+			age = *e.Age
+		}
+		list.Entries = append(list.Entries, link.Entry{Address: e.Address, Zone: e.Zone, Cell: e.Cell, Machine: e.Machine,
+			Phase: phases[e.Phase], Start: e.Start, Age: age})
+	}
+	f.tell(link.Fact{Kind: link.Listed, List: list})
+	return nil
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,220 @@
+// Package standin is a fleet of stand-in engines with their list service: readers, writers and mixed engines
+// that speak the engines' protocol on loopback, with slots, waiting, memory, kept prefixes, paces, cold starts
+// that fall over when pushed, drains, and troubles to order. They are stand-ins: enough for the rules and the
+// troubles, no faithful emulation. They write what they see on their sockets to a record. cmd/cherryhub,
+// internal/day and tests start them; no router may import this package.
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cherryhub/proto"
+)
+
+// Recorder takes entries; nil records nothing.
+type Recorder interface{ Write(*pb.Entry) }
+
+// Fleet is a set of engines and their list.
+type Fleet struct {
+	List    *List
+	Engines []*Engine
+
+	settings  *pb.Fleet
+	record    Recorder
+	workloads map[string]work // by model
+	mu        sync.Mutex
+	rng       *rand.Rand
+	links     float64 // times that transfers are slower
+	cut       string  // the zone that is cut off, while isCut
+	isCut     bool
+	routers   map[string]place     // by the address they dial from
+	seen      map[string]time.Time // tokened work that ran, by group and key
+}
+
+type place struct{ name, zone string }
+
+type work struct {
+	index int
+	w     *pb.Workload
+}
+
+// Start starts a fleet for a router's workloads.
+func Start(f *pb.Fleet, workloads []*pb.Workload, record Recorder) (*Fleet, error) {
+	fl := &Fleet{settings: f, record: record, workloads: map[string]work{}, links: 1,
+		rng: rand.New(rand.NewPCG(f.GetSeed(), 1)), routers: map[string]place{}, seen: map[string]time.Time{}}
+	for i, w := range workloads {
+		fl.workloads[w.GetName()] = work{i, w}
+		for _, m := range w.GetModels() {
+			fl.workloads[m] = work{i, w}
+		}
+	}
+	var err error
+	if fl.List, err = startList(fl, f.GetListListen(), time.Duration(f.GetListDelayS()*float64(time.Second))); err != nil {
+		return nil, err
+	}
+	for _, s := range f.GetEngines() {
+		for n := range int(s.GetCount()) {
+			port := 0
+			if n < len(s.GetPorts()) {
+				port = int(s.GetPorts()[n])
+			}
+			cell := s.GetZone()
+			if c := s.GetCells(); len(c) > 0 {
+				cell = c[n%len(c)]
+			}
+			e := newEngine(fl, s, s.GetName()+"-"+strconv.Itoa(n), cell)
+			if err := e.listen(net.JoinHostPort(f.GetListenHost(), strconv.Itoa(port))); err != nil {
+				return nil, errors.Join(err, fl.Close())
+			}
+			fl.Engines = append(fl.Engines, e)
+		}
+	}
+	fl.List.publishAll()
+	return fl, nil
+}
+
+// Close stops all.
+func (f *Fleet) Close() error {
+	err := f.List.Close()
+	for _, e := range f.Engines {
+		e.hangUp()
+	}
+	return err
+}
+
+// Router tells the fleet that a router dials from an address, so that it can be told in records and cut off.
+func (f *Fleet) Router(address, name, zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers[address] = place{name, zone}
+}
+
+// Find is the engines of a name: one, or a whole set's.
+func (f *Fleet) Find(name string) (found []*Engine) {
+	for _, e := range f.Engines {
+		if e.name == name || e.set.GetName() == name {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func (f *Fleet) at(address string) *Engine {
+	for _, e := range f.Engines {
+		if e.address == address {
+			return e
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) write(e *pb.Entry) {
+	if f.record != nil {
+		f.record.Write(e)
+	}
+}
+
+func (f *Fleet) chance() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+// SlowLinks makes transfers so many times slower; 1 is as usual.
+func (f *Fleet) SlowLinks(times float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.links = times
+}
+
+// Cut cuts a zone off from the others until Heal.
+func (f *Fleet) Cut(zone string) {
+	f.mu.Lock()
+	f.cut, f.isCut = zone, true
+	f.mu.Unlock()
+	f.noteCut(pb.EngineEvent_DEAF)
+}
+
+// Heal ends a cut.
+func (f *Fleet) Heal() {
+	f.mu.Lock()
+	f.isCut = false
+	f.mu.Unlock()
+	f.noteCut(pb.EngineEvent_HEARS)
+}
+
+func (f *Fleet) noteCut(kind pb.EngineEvent_Kind) {
+	f.mu.Lock()
+	routers := map[string]place{}
+	for a, p := range f.routers {
+		routers[a] = p
+	}
+	f.mu.Unlock()
+	for _, e := range f.Engines {
+		for _, p := range routers {
+			if (p.zone == f.cut) != (e.set.GetZone() == f.cut) {
+				e.note(&pb.EngineEvent{Kind: kind.Enum(), Peer: proto.String(p.name)})
+			}
+		}
+	}
+}
+
+// passes tells whether two zones hear each other.
+func (f *Fleet) passes(a, b string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.isCut || (a == f.cut) == (b == f.cut)
+}
+
+func (f *Fleet) placeOf(address string) place {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p, known := f.routers[address]; known {
+		return p
+	}
+	return place{name: address}
+}
+
+// first tells whether tokened work is new to a group, and books it. Non-idempotent work has no such memory.
+func (f *Fleet) first(e *Engine, w work, key string) bool {
+	if w.w.GetEffect() != pb.Effect_TOKENED || key == "" {
+		return true
+	}
+	group := strconv.Itoa(w.index) + "/" + key
+	switch w.w.GetGroup() {
+	case pb.Group_ZONE:
+		group = e.set.GetZone() + "/" + group
+	case pb.Group_CELL:
+		group = e.set.GetZone() + "/" + e.cell + "/" + group
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, known := f.seen[group]
+	known = known && time.Since(at).Seconds() < w.w.GetRememberedS()
+	if !known {
+		f.seen[group] = time.Now()
+	}
+	return !known
+}
+
+// transferTime is what a state takes from a reader to a writer.
+func (f *Fleet) transferTime(from, to *Engine, tokens float64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := tokens / f.settings.GetFetchTokensPerS() * f.links
+	if from.cell != to.cell || from.set.GetZone() != to.set.GetZone() {
+		s *= f.settings.GetFarSlower()
+	}
+	return time.Duration(s * float64(time.Second))
+}
+
+// String tells the fleet's size.
+func (f *Fleet) String() string { return fmt.Sprintf("%d stand-in engines", len(f.Engines)) }
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,133 @@
+// Package telemetry holds a router's log and figures: slog, and Prometheus metrics on its admin address. It
+// decides nothing and is told everything. internal/router makes it.
+package telemetry
+
+import (
+	"io"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+	"cherryhub/internal/planner"
+	pb "cherryhub/proto"
+)
+
+// Log is a router's log.
+func Log(w io.Writer, l *pb.Log) *slog.Logger {
+	level := map[pb.Level]slog.Level{pb.Level_DEBUG: slog.LevelDebug, pb.Level_INFO: slog.LevelInfo,
+		pb.Level_WARN: slog.LevelWarn, pb.Level_ERROR: slog.LevelError}[l.GetLevel()]
+	if l.GetJson() {
+		return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+	}
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
+}
+
+var outcomes = [...]string{decide.Finished: "finished", decide.Read: "read", decide.Errored: "errored", decide.Full: "full",
+	decide.TimedOut: "timed_out", decide.Unreachable: "unreachable", decide.Broken: "broken", decide.Cancelled: "cancelled",
+	decide.Moot: "moot"}
+
+// Metrics are a router's figures. It is an edge.Observer.
+type Metrics struct {
+	Registry *prometheus.Registry
+
+	taken      []prometheus.Counter
+	answered   [][]prometheus.Counter
+	answerTime []prometheus.Observer
+	ttft       []prometheus.Observer
+	dispatched [2][]prometheus.Counter
+	dispatch   [2]prometheus.Observer
+	refused    *prometheus.CounterVec
+	released   *prometheus.CounterVec
+	delay      prometheus.Histogram
+}
+
+// NewMetrics makes the figures of a router with workloads of those names.
+func NewMetrics(workloads []string) *Metrics {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "cherryhub", Name: name, Help: help}, labels)
+		reg.MustRegister(v)
+		return v
+	}
+	seconds := func(name, help string, first float64, labels ...string) *prometheus.HistogramVec {
+		v := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "cherryhub", Name: name, Help: help,
+			Buckets: prometheus.ExponentialBuckets(first, 2, 16)}, labels)
+		reg.MustRegister(v)
+		return v
+	}
+	taken := counter("completions_taken_total", "Completions taken.", "workload")
+	answered := counter("completions_total", "Completions by final answer.", "workload", "answer")
+	answerTime := seconds("completion_seconds", "From the call's arrival to its final answer.", 0.001, "workload")
+	ttft := seconds("ttft_seconds", "From the call's arrival to the first token.", 0.001, "workload")
+	dispatched := counter("dispatches_total", "Dispatches by outcome.", "stage", "outcome")
+	dispatch := seconds("dispatch_seconds", "From a dispatch's start to its end.", 0.001, "stage")
+	m := &Metrics{Registry: reg,
+		refused:  counter("refused_total", "Calls refused before a completion was taken.", "status"),
+		released: counter("released_total", "States and places let go, by who saw to it.", "reason"),
+		delay: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cherryhub", Name: "planner_delay_seconds",
+			Help: "From a fact's telling to the planner's reading.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 12)})}
+	reg.MustRegister(m.delay)
+	for _, w := range workloads {
+		m.taken = append(m.taken, taken.WithLabelValues(w))
+		m.answerTime = append(m.answerTime, answerTime.WithLabelValues(w))
+		m.ttft = append(m.ttft, ttft.WithLabelValues(w))
+		var by []prometheus.Counter
+		for a := edge.Finished; a <= edge.Gone; a++ {
+			by = append(by, answered.WithLabelValues(w, a.String()))
+		}
+		m.answered = append(m.answered, by)
+	}
+	for i, stage := range [...]string{"write", "read"} {
+		m.dispatch[i] = dispatch.WithLabelValues(stage)
+		for _, o := range outcomes {
+			m.dispatched[i] = append(m.dispatched[i], dispatched.WithLabelValues(stage, o))
+		}
+	}
+	return m
+}
+
+// Watch adds gauges of a planner and an edge.
+func (m *Metrics) Watch(p *planner.Planner, e *edge.Edge) {
+	gauge := func(name, help string, value func() float64) {
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "cherryhub", Name: name, Help: help}, value))
+	}
+	gauge("mailbox_facts", "Facts that wait for the planner.", func() float64 { return float64(p.Figures().Waiting) })
+	gauge("completions_open", "Completions that the planner has open.", func() float64 { return float64(p.Figures().Open) })
+	gauge("decide_busy_seconds", "Time spent in decide, in all.", func() float64 { return p.Figures().Busy.Seconds() })
+	gauge("decide_faults", "Panics in decide, in all.", func() float64 { return float64(p.Figures().Faults) })
+	gauge("dispatches_running", "Dispatches, probes and releases that run.", func() float64 {
+		_, running := e.Active()
+		return float64(running)
+	})
+}
+
+// Delay hears how long a fact waited for the planner, in seconds.
+func (m *Metrics) Delay(seconds float64) { m.delay.Observe(seconds) }
+
+// Took is of edge.Observer, as are the methods below.
+func (m *Metrics) Took(work int) { m.taken[work].Inc() }
+
+func (m *Metrics) Answered(work int, how edge.Answer, took time.Duration) {
+	m.answered[work][how].Inc()
+	m.answerTime[work].Observe(took.Seconds())
+}
+
+func (m *Metrics) FirstToken(work int, took time.Duration) { m.ttft[work].Observe(took.Seconds()) }
+
+func (m *Metrics) Dispatched(reads bool, o decide.Outcome, took time.Duration) {
+	stage := 0
+	if reads {
+		stage = 1
+	}
+	m.dispatched[stage][o].Inc()
+	m.dispatch[stage].Observe(took.Seconds())
+}
+
+func (m *Metrics) Refused(status int)     { m.refused.WithLabelValues(strconv.Itoa(status)).Inc() }
+func (m *Metrics) Released(reason string) { m.released.WithLabelValues(reason).Inc() }
