--- /dev/null
+++ b/cmd/cherryhub/day.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"cherryhub/internal/config"
+	"cherryhub/internal/day"
+	"cherryhub/internal/record"
+	"cherryhub/internal/rules"
+	pb "cherryhub/proto"
+)
+
+func dayCommand() *cobra.Command {
+	var out, logs string
+	var asJSON bool
+	c := &cobra.Command{Use: "day FILE", Short: "Play a scripted day on loopback and check the rules", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			d := &pb.Day{}
+			if err := config.Load(args[0], d); err != nil {
+				return usage{err}
+			}
+			dir, err := os.MkdirTemp("", "cherryhub-day-")
+			if err != nil {
+				return fmt.Errorf("day: %w", err)
+			}
+			defer os.RemoveAll(dir)
+			if out == "" {
+				out = filepath.Join(dir, "record")
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return fmt.Errorf("day: %w", err)
+			}
+			o := day.Options{Router: []string{self, "serve", "--config"}, Dir: dir, Record: out}
+			if isTerminal(os.Stderr) {
+				o.Progress = func(text string) { fmt.Fprintln(os.Stderr, text) }
+			}
+			if logs != "" {
+				f, err := os.Create(logs)
+				if err != nil {
+					return usage{fmt.Errorf("--logs: %w", err)}
+				}
+				defer f.Close()
+				o.Logs = f
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			if err := day.Play(ctx, d, o); err != nil {
+				return err
+			}
+			return judge(os.Stdout, out, asJSON)
+		}}
+	c.Flags().StringVar(&out, "record", "", "keep the record in this file")
+	c.Flags().StringVar(&logs, "logs", "", "keep the routers' logs in this file")
+	c.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{Use: "check RECORD", Short: "Check the rules again from a record alone", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error { return judge(os.Stdout, args[0], asJSON) }}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the report as JSON")
+	return c
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// judge prints the verdict on a record.
+func judge(w io.Writer, file string, asJSON bool) error {
+	entries, err := record.ReadFile(file)
+	if errors.Is(err, os.ErrNotExist) {
+		return usage{err}
+	}
+	if err != nil {
+		return err
+	}
+	report, err := rules.Check(entries)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		if err := e.Encode(report); err != nil {
+			return err
+		}
+	} else if err := table(w, report); err != nil {
+		return err
+	}
+	if len(report.Breaches) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// breachesMost is how many breaches of a rule the table shows; JSON has all.
+const breachesMost = 5
+
+func table(w io.Writer, r *rules.Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "day %s\ttaken\tfinished\trate-limited\taborted\tleft\tlate\tvalue served\n", r.Day)
+	for _, one := range r.Works {
+		share := "-"
+		if one.Asked > 0 {
+			share = fmt.Sprintf("%.1f%% of %.0f", 100*one.Served/one.Asked, one.Asked)
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", one.Name, one.Taken, one.Finished, one.RateLimited, one.Aborted, one.Left, one.Late, share)
+	}
+	fmt.Fprintln(t, strings.Repeat("\t", 1))
+	for _, rule := range rules.Rules() {
+		verdict := "kept"
+		if !r.Kept(rule) {
+			verdict = "BROKEN"
+		}
+		fmt.Fprintf(t, "rule: %v\t%s\t%d checked\n", rule, verdict, r.Checked[rule])
+		shown := 0
+		for _, b := range r.Breaches {
+			if b.Rule == rule && shown < breachesMost {
+				fmt.Fprintf(t, "  %.3f s, %s:\t%s\n", b.At, b.Exchange, b.Text)
+				shown++
+			}
+		}
+	}
+	return t.Flush()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -216,8 +216,11 @@
 			}
 		case f.IsList():
 		case f.Kind() == protoreflect.MessageKind:
-			if m.Has(f) || !required(f) {
-				fill(m.Mutable(f).Message())
+			had := m.Has(f)
+			part := m.Mutable(f).Message()
+			fill(part)
+			if !had && (required(f) || empty(part)) {
+				m.Clear(f)
 			}
 		case !m.Has(f) && f.HasDefault():
 			m.Set(f, f.Default())
@@ -225,6 +228,15 @@
 	}
 }
 
+func empty(m protoreflect.Message) bool {
+	empty := true
+	m.Range(func(protoreflect.FieldDescriptor, protoreflect.Value) bool {
+		empty = false
+		return false
+	})
+	return empty
+}
+
 // Text is settings as a file would have them.
 func Text(m proto.Message) string {
 	return prototext.MarshalOptions{Multiline: true, Indent: "  "}.Format(m)
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,331 @@
+// Package day plays a scripted day (proto/day.proto) on loopback: routers as processes of their own, a fleet of
+// stand-in engines with its list, clients and troubles. What engines, list and clients see goes to a record;
+// the rules are checked from that elsewhere. It decides nothing. cmd/cherryhub day calls it, and tests.
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/internal/config"
+	"cherryhub/internal/loopback"
+	"cherryhub/internal/record"
+	"cherryhub/internal/standin"
+	pb "cherryhub/proto"
+)
+
+// valueUnit is the work, in tokens, that a workload's value is for.
+const valueUnit = 1000
+
+// Options of a play.
+type Options struct {
+	Router   []string          // how a router is started; the settings' path is added as the last argument
+	Env      []string          // and in what environment besides ours
+	Dir      string            // for settings and, with Logs, logs
+	Record   string            // the record's path
+	Logs     io.Writer         // of the routers, nil for none
+	Progress func(text string) // nil for none
+}
+
+// player is a day that is played.
+type player struct {
+	day     *pb.Day
+	o       Options
+	rec     *record.Writer
+	fleet   *standin.Fleet
+	routers []*process
+	load    *load
+	wg      sync.WaitGroup
+}
+
+// process is a router's process.
+type process struct {
+	name, zone, address, source string
+	settings                    string // path
+	mu                          sync.Mutex
+	cmd                         *exec.Cmd
+	done                        chan error
+}
+
+// Play plays a day that was checked. Its error is of the play, not of broken rules.
+func Play(ctx context.Context, d *pb.Day, o Options) (err error) {
+	d = config.Effective(d)
+	p := &player{day: d, o: o}
+	if p.o.Progress == nil {
+		p.o.Progress = func(string) {}
+	}
+	rt := d.GetRouter()
+	p.rec, err = record.Create(o.Record, &pb.Head{Day: proto.String(d.GetName()), Workloads: rt.GetWorkloads(), DrainGraceS: proto.Float64(rt.GetDrainGraceS()),
+		LetGoS: proto.Float64(rt.GetLetGoS()), Cold: rt.GetCold(), ValueUnitTokens: proto.Float64(valueUnit)})
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, p.rec.Close()) }()
+	f := proto.Clone(d.GetFleet()).(*pb.Fleet)
+	f.ListListen = proto.String("127.0.0.1:0")
+	f.Cold = rt.GetCold()
+	if p.fleet, err = standin.Start(f, rt.GetWorkloads(), p.rec); err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, p.fleet.Close()) }()
+	if err := p.startRouters(); err != nil {
+		return errors.Join(err, p.stopRouters())
+	}
+	p.load = newLoad(p)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	troubled := make(chan error, 1)
+	go func() { troubled <- p.troubles(ctx) }()
+	p.load.run(ctx)
+	p.o.Progress("clients have ended, routers stop")
+	cancel()
+	err = errors.Join(<-troubled, p.stopRouters())
+	time.Sleep(config.Seconds(rt.GetLetGoS())) // what is held past the stop is to be seen
+	return err
+}
+
+// startRouters starts all routers, each dialling from an address of its own.
+func (p *player) startRouters() error {
+	for i, place := range p.day.GetRouters() {
+		address, err := loopback.Address("127.0.0.1")
+		if err != nil {
+			return err
+		}
+		r := proto.Clone(p.day.GetRouter()).(*pb.Router)
+		source := fmt.Sprintf("127.0.1.%d", i+1)
+		r.Name, r.Zone, r.Listen, r.AdminListen = place.Name, proto.String(place.GetZone()), proto.String(address), proto.String("")
+		r.Routers, r.SourceAddress = proto.Int32(int32(len(p.day.GetRouters()))), proto.String(source)
+		r.Seed = proto.Uint64(p.day.GetSeed()*1000 + uint64(i) + 1)
+		r.List = &pb.EngineList{Url: proto.String(p.fleet.List.URL())}
+		one := &process{name: place.GetName(), zone: place.GetZone(), address: address, source: source,
+			settings: filepath.Join(p.o.Dir, place.GetName()+".textproto")}
+		if err := os.WriteFile(one.settings, []byte(config.Text(r)), 0o600); err != nil {
+			return fmt.Errorf("day: settings of %s: %w", one.name, err)
+		}
+		p.fleet.Router(source, one.name, one.zone)
+		p.routers = append(p.routers, one)
+		if err := p.start(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *player) start(r *process) error {
+	args := append(append([]string(nil), p.o.Router[1:]...), r.settings)
+	cmd := exec.Command(p.o.Router[0], args...)
+	cmd.Env = append(os.Environ(), p.o.Env...)
+	cmd.Stdout, cmd.Stderr = p.o.Logs, p.o.Logs
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("day: start %s: %w", r.name, err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	r.mu.Lock()
+	r.cmd, r.done = cmd, done
+	r.mu.Unlock()
+	for until := time.Now().Add(startMost); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.DialTimeout("tcp", r.address, time.Second); err == nil {
+			conn.Close() //nolint:errcheck // it was only a try
+			p.rec.Write(&pb.Entry{What: &pb.Entry_Router{Router: &pb.RouterEvent{Router: proto.String(r.name), Address: proto.String(r.source), Up: proto.Bool(true)}}})
+			return nil
+		}
+		select {
+		case err := <-done:
+			done <- err
+			return fmt.Errorf("day: %s ended at its start: %w", r.name, err)
+		default:
+		}
+	}
+	return fmt.Errorf("day: %s does not listen at %s after %v", r.name, r.address, startMost)
+}
+
+// startMost is how long a router may take to listen; a test's build with the race detector is slow.
+const startMost = 15 * time.Second
+
+// kill ends a router outright.
+func (p *player) kill(r *process) error {
+	r.mu.Lock()
+	cmd, done := r.cmd, r.done
+	r.mu.Unlock()
+	p.rec.Write(&pb.Entry{What: &pb.Entry_Router{Router: &pb.RouterEvent{Router: proto.String(r.name), Address: proto.String(r.source), Up: proto.Bool(false)}}})
+	if err := cmd.Process.Kill(); err != nil {
+		return fmt.Errorf("day: kill %s: %w", r.name, err)
+	}
+	<-done
+	return nil
+}
+
+// stopRouters stops routers as an operator does; one that ends badly is an error.
+func (p *player) stopRouters() (err error) {
+	for _, r := range p.routers {
+		if r.cmd != nil {
+			err = errors.Join(err, r.cmd.Process.Signal(syscall.SIGTERM))
+		}
+	}
+	for _, r := range p.routers {
+		if r.cmd == nil {
+			continue
+		}
+		select {
+		case end := <-r.done:
+			if end != nil {
+				err = errors.Join(err, fmt.Errorf("day: %s ended badly: %w", r.name, end))
+			}
+		case <-time.After(stopMost):
+			err = errors.Join(err, fmt.Errorf("day: %s does not stop within %v", r.name, stopMost), r.cmd.Process.Kill())
+		}
+	}
+	return err
+}
+
+// stopMost is how long a router may take to stop: its own stop_s and what comes after.
+const stopMost = 30 * time.Second
+
+// troubles plays the script until all are over or the context ends; what is in force then is mended.
+func (p *player) troubles(ctx context.Context) error {
+	var mu sync.Mutex
+	var all error
+	var wg sync.WaitGroup
+	for i, t := range p.day.GetTroubles() {
+		rng := rand.New(rand.NewPCG(p.day.GetSeed(), uint64(i)))
+		wg.Go(func() {
+			if !sleep(ctx, config.Seconds(t.GetAtS())) {
+				return
+			}
+			p.o.Progress(fmt.Sprintf("%.1f s: %v begins", p.rec.Now(), t.GetKind()))
+			if err := p.trouble(ctx, t, rng); err != nil {
+				mu.Lock()
+				all = errors.Join(all, fmt.Errorf("day: %v: %w", t.GetKind(), err))
+				mu.Unlock()
+			}
+			p.o.Progress(fmt.Sprintf("%.1f s: %v is over", p.rec.Now(), t.GetKind()))
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// sleep tells whether the time went by before the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// engines are those a trouble is for: the named ones, else one by chance.
+func (p *player) engines(t *pb.Trouble, rng *rand.Rand) (all []*standin.Engine) {
+	for _, name := range t.GetEngines() {
+		all = append(all, p.fleet.Find(name)...)
+	}
+	if len(all) == 0 {
+		all = append(all, p.fleet.Engines[rng.IntN(len(p.fleet.Engines))])
+	}
+	return all
+}
+
+// trouble plays one trouble from its onset to its end.
+func (p *player) trouble(ctx context.Context, t *pb.Trouble, rng *rand.Rand) (err error) {
+	length, size := config.Seconds(t.GetLengthS()), t.GetSize()
+	during := func(on, off func()) {
+		on()
+		sleep(ctx, length)
+		off()
+	}
+	each := func(on, off func(*standin.Engine)) {
+		engines := p.engines(t, rng)
+		during(func() {
+			for _, e := range engines {
+				on(e)
+			}
+		}, func() {
+			for _, e := range engines {
+				off(e)
+			}
+		})
+	}
+	type engine = *standin.Engine
+	switch t.GetKind() {
+	case pb.Kind_FAILS_FAST:
+		each(func(e engine) { e.Fails(size) }, func(e engine) { e.Fails(0) })
+	case pb.Kind_SLOW:
+		each(func(e engine) { e.Slow(max(1, size)) }, func(e engine) { e.Slow(1) })
+	case pb.Kind_SILENT:
+		each(func(e engine) { e.Silent(true) }, func(e engine) { e.Silent(false) })
+	case pb.Kind_PAUSED:
+		each(func(e engine) { e.Paused(true) }, func(e engine) { e.Paused(false) })
+	case pb.Kind_UNREACHABLE:
+		each(func(e engine) { err = errors.Join(err, e.Unreachable(true)) }, func(e engine) { err = errors.Join(err, e.Unreachable(false)) })
+	case pb.Kind_BREAKS_MIDSTREAM:
+		each(func(e engine) { e.Breaks(size) }, func(e engine) { e.Breaks(0) })
+	case pb.Kind_ANSWERS_LOST:
+		each(func(e engine) { e.Loses(size) }, func(e engine) { e.Loses(0) })
+	case pb.Kind_WORKLOAD_FAILS:
+		each(func(e engine) { e.FailsWorkload(t.GetWorkload()) }, func(e engine) { e.FailsWorkload("") })
+	case pb.Kind_KEPT_FLUSHED:
+		each(func(e engine) { e.Flush(size) }, func(engine) {})
+	case pb.Kind_DEATH:
+		each(engine.Die, func(e engine) { err = errors.Join(err, e.Return()) })
+	case pb.Kind_DRAIN_WAVE:
+		err = p.drainWave(ctx, t, rng)
+	case pb.Kind_ZONE_CUT:
+		during(func() { p.fleet.Cut(t.GetZone()) }, p.fleet.Heal)
+	case pb.Kind_LINKS_SLOW:
+		during(func() { p.fleet.SlowLinks(max(1, size)) }, func() { p.fleet.SlowLinks(1) })
+	case pb.Kind_LIST_LATE:
+		during(func() { p.fleet.List.Late(config.Seconds(size)) }, func() { p.fleet.List.Late(0) })
+	case pb.Kind_LIST_EMPTY:
+		during(func() { p.fleet.List.Empty(true) }, func() { p.fleet.List.Empty(false) })
+	case pb.Kind_LIST_GONE:
+		during(func() { p.fleet.List.Gone(true) }, func() { p.fleet.List.Gone(false) })
+	case pb.Kind_ROUTER_KILLED:
+		err = p.killRouter(ctx, t)
+	default: // the clients' own troubles: load looks at the script
+	}
+	return err
+}
+
+// drainWave has engines drain one after another, go halfway through their share of the time and return cold.
+func (p *player) drainWave(ctx context.Context, t *pb.Trouble, rng *rand.Rand) (err error) {
+	engines := p.engines(t, rng)
+	each := config.Seconds(t.GetLengthS()) / time.Duration(len(engines))
+	for _, e := range engines {
+		e.Drain()
+		sleep(ctx, each/2)
+		e.Die()
+		sleep(ctx, each/2)
+		err = errors.Join(err, e.Return())
+	}
+	return err
+}
+
+func (p *player) killRouter(ctx context.Context, t *pb.Trouble) error {
+	for _, r := range p.routers {
+		if r.name != t.GetRouter() {
+			continue
+		}
+		if err := p.kill(r); err != nil {
+			return err
+		}
+		sleep(ctx, config.Seconds(t.GetLengthS()))
+		return p.start(r)
+	}
+	return fmt.Errorf("no router %q", t.GetRouter())
+}
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -326,29 +326,39 @@
 	c.settle()
 }
 
-// releaseTries are the waits between tries to release: an engine that is cut off gets it once it hears again.
-var releaseTries = [...]time.Duration{0, 50, 100, 200, 400, 800, 1600, 3200, 6400}
+// Releases are tried again for as long, and so many at once, at a third of the limit: an engine that is cut off
+// or down gets its own within the limit once it hears again.
+const (
+	releaseFor  = time.Minute
+	releaseMost = 8192
+)
 
 // release has an engine drop what it holds, beside everything else.
 func (e *Edge) release(h *holding, reason string) {
 	e.o.Observe.Released(reason)
+	if e.releases.Add(1) > releaseMost {
+		e.releases.Add(-1)
+		e.o.Log.Error("state not released: too many releases run", "engine", h.address, "id", h.id)
+		return
+	}
 	e.runs.Add(1)
 	go func() {
 		defer e.runs.Add(-1)
-		var err error
-		for _, wait := range releaseTries {
-			time.Sleep(wait * time.Millisecond)
+		defer e.releases.Add(-1)
+		began := time.Now()
+		for {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			err = e.o.Engines.Release(ctx, h.address, h.id)
+			err := e.o.Engines.Release(ctx, h.address, h.id)
 			cancel()
 			if err == nil {
 				return
 			}
-			if e.ending.Load() && e.base.Err() != nil {
-				break
+			if time.Since(began) > releaseFor || e.base.Err() != nil && time.Since(began) > stopLast/2 {
+				e.o.Log.Warn("state not released", "engine", h.address, "id", h.id, "err", err)
+				return
 			}
+			time.Sleep(e.o.LetGo / 3)
 		}
-		e.o.Log.Warn("state not released", "engine", h.address, "id", h.id, "err", err)
 	}()
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,20 +101,21 @@
 
 // Edge serves clients.
 type Edge struct {
-	o       Options
-	planner link.Planner
-	server  *server.Hertz
-	base    context.Context // of all dispatches
-	end     context.CancelCauseFunc
-	models  map[string]int
-	tenants map[[32]byte]int
-	nobody  int // the tenant of clients without a key, -1 for none
-	start   string
-	next    atomic.Uint64
-	active  atomic.Int64 // handlers of taken completions
-	runs    atomic.Int64 // dispatches and releases
-	ending  atomic.Bool
-	shards  [64]shard
+	o        Options
+	planner  link.Planner
+	server   *server.Hertz
+	base     context.Context // of all dispatches
+	end      context.CancelCauseFunc
+	models   map[string]int
+	tenants  map[[32]byte]int
+	nobody   int // the tenant of clients without a key, -1 for none
+	start    string
+	next     atomic.Uint64
+	active   atomic.Int64 // handlers of taken completions
+	runs     atomic.Int64 // dispatches and releases
+	ending   atomic.Bool
+	releases atomic.Int64
+	shards   [64]shard
 }
 
 type shard struct {
@@ -152,7 +153,7 @@
 	e.server = server.New(server.WithListener(o.Listener), server.WithTransport(netpoll.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(o.Limits.MaxBodyBytes), server.WithMaxHeaderBytes(o.Limits.MaxHeaderBytes),
-		server.WithReadTimeout(o.Idle), server.WithIdleTimeout(0), server.WithKeepAliveTimeout(o.Idle),
+		server.WithReadTimeout(o.Idle), server.WithIdleTimeout(o.Idle), server.WithKeepAliveTimeout(o.Idle),
 		server.WithWriteTimeout(o.ClientWrite), server.WithExitWaitTime(time.Second), server.WithRedirectTrailingSlash(false))
 	e.server.POST("/v1/chat/completions", e.complete)
 	e.server.GET("/v1/models", e.listModels)
--- /dev/null
+++ b/internal/rules/rules.go
@@ -0,0 +1,494 @@
+// Package rules checks the five rules from a record alone: from what engines, the list service and clients
+// saw on their sockets, with no word from a router. It does no I/O. cmd/cherryhub and internal/day's tests
+// call it.
+package rules
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	pb "cherryhub/proto"
+)
+
+// Rule is one of the five.
+type Rule int
+
+// The rules, in the order of docs/rules.md.
+const (
+	OneAnswer Rule = iota
+	NoEffectTwice
+	DrainsKept
+	ColdNotPushed
+	NothingPinned
+	count
+)
+
+func (r Rule) String() string {
+	return [...]string{"one final answer in time", "no effect twice", "drains kept", "no cold engine pushed over", "nothing left pinned"}[r]
+}
+
+// Breach is a broken rule, with the exchange that broke it.
+type Breach struct {
+	Rule     Rule    `json:"-"`
+	Name     string  `json:"rule"`
+	At       float64 `json:"at_s"`
+	Exchange string  `json:"exchange"`
+	Text     string  `json:"text"`
+}
+
+// Work is what became of a workload's completions. A client's tries count one by one, its value once.
+type Work struct {
+	Name        string  `json:"workload"`
+	Taken       int     `json:"taken"` // tries that a router answered or owed an answer
+	Finished    int     `json:"finished"`
+	RateLimited int     `json:"rate_limited"`
+	Aborted     int     `json:"aborted"`
+	Left        int     `json:"left"`
+	Late        int     `json:"late"` // finished with the first token past the latency target
+	Asked       float64 `json:"value_asked"`
+	Served      float64 `json:"value_served"` // finished within the latency target, by any try
+}
+
+// Report is the verdict on a record.
+type Report struct {
+	Day      string     `json:"day"`
+	Works    []Work     `json:"workloads"`
+	Breaches []Breach   `json:"breaches"`
+	Checked  [count]int `json:"checked"` // exchanges that each rule was held to
+	entries  []*pb.Entry
+	head     *pb.Head
+	end      float64
+	routers  map[string][]span // when a router was down
+}
+
+// span is a time from, to; To is +Inf while it goes on.
+type span struct{ from, to float64 }
+
+// Kept tells whether a rule was kept.
+func (r *Report) Kept(rule Rule) bool {
+	for _, b := range r.Breaches {
+		if b.Rule == rule {
+			return false
+		}
+	}
+	return true
+}
+
+// Rules are all of them.
+func Rules() (all []Rule) {
+	for r := range count {
+		all = append(all, r)
+	}
+	return all
+}
+
+// Check checks a whole record, as record.Read gives it.
+func Check(entries []*pb.Entry) (*Report, error) {
+	if len(entries) < 2 || entries[0].GetHead() == nil {
+		return nil, fmt.Errorf("rules: a record of %d entries without a head", len(entries))
+	}
+	r := &Report{Day: entries[0].GetHead().GetDay(), entries: entries, head: entries[0].GetHead(),
+		end: entries[len(entries)-1].GetAtS(), routers: map[string][]span{}, Breaches: []Breach{}}
+	last := 0.0
+	for i, e := range entries {
+		if e.GetAtS() < last || math.IsNaN(e.GetAtS()) {
+			return nil, fmt.Errorf("rules: entry %d at %v s comes after one at %v s", i, e.GetAtS(), last)
+		}
+		last = e.GetAtS()
+		if ev := e.GetRouter(); ev != nil {
+			spans := r.routers[ev.GetRouter()]
+			if ev.GetUp() && len(spans) > 0 {
+				spans[len(spans)-1].to = e.GetAtS()
+			} else if !ev.GetUp() {
+				spans = append(spans, span{e.GetAtS(), math.Inf(1)})
+			}
+			r.routers[ev.GetRouter()] = spans
+		}
+	}
+	clients := r.clients()
+	r.answers(clients)
+	r.effects(clients)
+	r.drains()
+	r.cold()
+	r.pinned()
+	sort.SliceStable(r.Breaches, func(i, j int) bool { return r.Breaches[i].At < r.Breaches[j].At })
+	return r, nil
+}
+
+func (r *Report) breach(rule Rule, at float64, exchange, format string, a ...any) {
+	r.Breaches = append(r.Breaches, Breach{rule, rule.String(), at, exchange, fmt.Sprintf(format, a...)})
+}
+
+// killed tells whether a router was down at any time from, to.
+func (r *Report) killed(router string, from, to float64) bool {
+	for _, s := range r.routers[router] {
+		if s.from <= to && s.to >= from {
+			return true
+		}
+	}
+	return false
+}
+
+// try is one completion as its client saw it.
+type try struct {
+	id, first int64
+	router    string
+	key       string
+	work      int
+	timeout   float64
+	streamed  bool
+	prompt    float64
+	sent      float64
+	firstAt   float64 // of its first token, +Inf
+	endAt     float64 // of the last thing that happened
+	finals    []final
+	left      bool
+	gaveUp    bool
+	cut       bool
+	after     string
+	none      bool // nothing was taken
+	answer    float64
+}
+
+type final struct {
+	kind   pb.ClientEvent_Kind
+	at     float64
+	status int32
+	name   string // the completion's, as the router gave it
+}
+
+// clients gathers the tries in the order of their sending.
+func (r *Report) clients() []*try {
+	byID, all := map[int64]*try{}, []*try(nil)
+	for _, e := range r.entries {
+		c := e.GetClient()
+		if c == nil {
+			continue
+		}
+		t := byID[c.GetCompletion()]
+		if t == nil {
+			t = &try{id: c.GetCompletion(), firstAt: math.Inf(1), sent: e.GetAtS()}
+			byID[t.id] = t
+			all = append(all, t)
+		}
+		t.endAt = e.GetAtS()
+		switch c.GetKind() {
+		case pb.ClientEvent_SENT:
+			t.first, t.router, t.key, t.work = c.GetFirstTry(), c.GetRouter(), c.GetKey(), int(c.GetWorkload())
+			t.timeout, t.streamed, t.prompt = c.GetTimeoutS(), c.GetStreamed(), float64(c.GetPromptTokens())
+		case pb.ClientEvent_FIRST:
+			t.firstAt = e.GetAtS()
+		case pb.ClientEvent_FINISHED, pb.ClientEvent_RATE_LIMITED, pb.ClientEvent_ABORTED, pb.ClientEvent_REFUSED:
+			t.finals = append(t.finals, final{c.GetKind(), e.GetAtS(), c.GetStatus(), c.GetDetail()})
+			t.answer = float64(c.GetAnswerTokens())
+		case pb.ClientEvent_LEFT:
+			t.left = true
+		case pb.ClientEvent_GAVE_UP:
+			t.gaveUp = true
+		case pb.ClientEvent_CUT:
+			t.cut = true
+		case pb.ClientEvent_AFTER:
+			t.after = c.GetDetail()
+		case pb.ClientEvent_NO_CONNECTION:
+			t.none = true
+		}
+	}
+	return all
+}
+
+// answers checks that each try that was taken has one final answer before its client timeout, and counts.
+func (r *Report) answers(tries []*try) {
+	r.Works = make([]Work, len(r.head.GetWorkloads()))
+	for i, w := range r.head.GetWorkloads() {
+		r.Works[i].Name = w.GetName()
+	}
+	served, asked := map[int64]float64{}, map[int64]float64{}
+	var order []*try
+	for _, t := range tries {
+		if t.work < 0 || t.work >= len(r.Works) {
+			r.breach(OneAnswer, t.sent, exchange(t), "of a workload that is not in the head")
+			continue
+		}
+		w, set := &r.Works[t.work], r.head.GetWorkloads()[t.work]
+		value := set.GetValue() * (t.prompt + t.answer) / r.head.GetValueUnitTokens()
+		if t.first == t.id {
+			order = append(order, t)
+		}
+		asked[t.first] = max(asked[t.first], value)
+		if t.none {
+			continue
+		}
+		w.Taken++
+		r.Checked[OneAnswer]++
+		r.answer(t)
+		if t.left {
+			w.Left++
+		}
+		if len(t.finals) == 0 {
+			continue
+		}
+		switch t.finals[0].kind {
+		case pb.ClientEvent_FINISHED:
+			w.Finished++
+			first := t.firstAt
+			if !t.streamed {
+				first = t.finals[0].at
+			}
+			if first-t.sent > set.GetLatencyTargetS()+set.GetLatencyTargetSPer_1000Tokens()*t.prompt/1000 {
+				w.Late++
+			} else {
+				served[t.first] = value
+			}
+		case pb.ClientEvent_RATE_LIMITED:
+			w.RateLimited++
+		case pb.ClientEvent_ABORTED:
+			w.Aborted++
+		}
+	}
+	for _, t := range order {
+		r.Works[t.work].Asked += asked[t.id]
+		r.Works[t.work].Served += served[t.id]
+	}
+}
+
+func exchange(t *try) string {
+	return fmt.Sprintf("client's completion %d at %s", t.id, t.router)
+}
+
+func (r *Report) answer(t *try) {
+	began := t.streamed && t.firstAt-t.sent <= t.timeout
+	dead := r.killed(t.router, t.sent, t.endAt)
+	switch n := len(t.finals); {
+	case n > 1:
+		r.breach(OneAnswer, t.finals[1].at, exchange(t), "%d final answers: %v, then %v", n, t.finals[0].kind, t.finals[1].kind)
+	case t.after != "":
+		r.breach(OneAnswer, t.endAt, exchange(t), "after the final answer came %q", t.after)
+	case n == 1 && !began && t.finals[0].at-t.sent > t.timeout:
+		r.breach(OneAnswer, t.finals[0].at, exchange(t), "%v after %.3f s, the client timeout is %.3f s", t.finals[0].kind, t.finals[0].at-t.sent, t.timeout)
+	case n == 1, t.left, dead:
+	case t.gaveUp:
+		r.breach(OneAnswer, t.endAt, exchange(t), "no final answer within the client timeout of %.3f s", t.timeout)
+	case t.cut:
+		r.breach(OneAnswer, t.endAt, exchange(t), "the connection ended without a final answer")
+	default:
+		r.breach(OneAnswer, r.end, exchange(t), "no final answer until the record's end")
+	}
+}
+
+// effects checks that nothing ran twice that must not, and that nobody was told to try again what had run.
+func (r *Report) effects(tries []*try) {
+	type effect struct {
+		runs []*pb.Entry
+	}
+	byKey, byName, keys := map[string]*effect{}, map[string]*pb.Entry{}, []string(nil)
+	for _, e := range r.entries {
+		ev := e.GetEngine()
+		if ev.GetKind() != pb.EngineEvent_RAN {
+			continue
+		}
+		byName[ev.GetCompletion()] = e
+		if r.effectOf(int(ev.GetWorkload())) == pb.Effect_IDEMPOTENT {
+			continue
+		}
+		if byKey[ev.GetKey()] == nil {
+			byKey[ev.GetKey()] = &effect{}
+			keys = append(keys, ev.GetKey())
+		}
+		byKey[ev.GetKey()].runs = append(byKey[ev.GetKey()].runs, e)
+	}
+	for _, key := range keys {
+		r.Checked[NoEffectTwice]++
+		if runs := byKey[key].runs; len(runs) > 1 {
+			r.breach(NoEffectTwice, runs[1].GetAtS(), "key "+key, "ran at %s (dispatch %s) and at %s (dispatch %s)",
+				runs[0].GetEngine().GetEngine(), runs[0].GetEngine().GetDispatch(), runs[1].GetEngine().GetEngine(), runs[1].GetEngine().GetDispatch())
+		}
+	}
+	for _, t := range tries {
+		for _, f := range t.finals {
+			ran := byName[f.name]
+			if f.kind == pb.ClientEvent_RATE_LIMITED && f.name != "" && ran != nil && r.effectOf(t.work) == pb.Effect_NON_IDEMPOTENT {
+				r.breach(NoEffectTwice, f.at, exchange(t), "rate-limited, but dispatch %s ran", ran.GetEngine().GetDispatch())
+			}
+		}
+	}
+}
+
+func (r *Report) effectOf(work int) pb.Effect {
+	if work < 0 || work >= len(r.head.GetWorkloads()) {
+		return pb.Effect_NON_IDEMPOTENT
+	}
+	return r.head.GetWorkloads()[work].GetEffect()
+}
+
+// drains checks that nothing new came to an engine past the grace after its router was told that it drains
+// or is gone.
+func (r *Report) drains() {
+	since := map[string]float64{} // when the present run of not-ready news began, by router and engine
+	for _, e := range r.entries {
+		if l := e.GetList(); l != nil {
+			pair := l.GetRouter() + " " + l.GetEngine()
+			if l.GetPhase() == 1 {
+				delete(since, pair)
+			} else if _, told := since[pair]; !told {
+				since[pair] = e.GetAtS()
+			}
+		}
+		if ev := e.GetEngine(); ev.GetKind() == pb.EngineEvent_ARRIVED {
+			r.Checked[DrainsKept]++
+			if at, told := since[ev.GetPeer()+" "+ev.GetEngine()]; told && e.GetAtS()-at > r.head.GetDrainGraceS() {
+				r.breach(DrainsKept, e.GetAtS(), "dispatch "+ev.GetDispatch(), "%s sent it to %s %.3f s after being told, the grace is %.3f s",
+					ev.GetPeer(), ev.GetEngine(), e.GetAtS()-at, r.head.GetDrainGraceS())
+			}
+		}
+	}
+}
+
+// cold checks that no cold engine was sent more than it can bear by routers that knew of its start.
+func (r *Report) cold() {
+	c := r.head.GetCold()
+	type arrival struct {
+		at, work float64
+		told     bool
+	}
+	type life struct {
+		start float64
+		sent  []arrival
+	}
+	lives, heard := map[string]*life{}, map[string]bool{}
+	if c.GetFallWindowS() <= 0 {
+		return
+	}
+	for _, e := range r.entries {
+		at := e.GetAtS()
+		if l := e.GetList(); l != nil && l.GetPhase() == 1 {
+			// A start that is told counts for the present life if it is younger than it, give or take a tick.
+			if now := lives[l.GetEngine()]; now != nil && l.GetStartedS() >= 0 && at-l.GetStartedS() >= now.start-0.05 {
+				heard[l.GetRouter()+" "+l.GetEngine()] = true
+			}
+		}
+		ev := e.GetEngine()
+		switch ev.GetKind() {
+		case pb.EngineEvent_UP:
+			delete(lives, ev.GetEngine())
+			if ev.GetCold() {
+				lives[ev.GetEngine()] = &life{start: at}
+				for pair := range heard { // order does not matter: all of the engine's go
+					if len(pair) > len(ev.GetEngine()) && pair[len(pair)-len(ev.GetEngine())-1:] == " "+ev.GetEngine() {
+						delete(heard, pair)
+					}
+				}
+			}
+		case pb.EngineEvent_ARRIVED:
+			l := lives[ev.GetEngine()]
+			if l == nil {
+				continue
+			}
+			share := 1.0
+			if c.GetWarmS() > 0 {
+				share = min(1, c.GetStartShare()+(1-c.GetStartShare())*(at-l.start)/c.GetWarmS())
+			}
+			if share >= 1 {
+				continue
+			}
+			r.Checked[ColdNotPushed]++
+			l.sent = append(l.sent, arrival{at, ev.GetWorkS(), heard[ev.GetPeer()+" "+ev.GetEngine()]})
+			sum, known := 0.0, 0.0
+			for _, a := range l.sent {
+				if at-a.at <= c.GetFallWindowS() {
+					sum += a.work
+					if a.told {
+						known += a.work
+					}
+				}
+			}
+			if limit := c.GetFallMultiple() * share * c.GetFallWindowS(); sum > limit && known >= 2*sum/3 {
+				r.breach(ColdNotPushed, at, "dispatch "+ev.GetDispatch(), "%s got %.2f s of work in %.1f s, %.2f s is the most at its age of %.1f s",
+					ev.GetEngine(), sum, c.GetFallWindowS(), limit, at-l.start)
+				l.sent = nil
+			}
+		}
+	}
+}
+
+// pinned checks that no state and no place stays held past the limit while no dispatch of its completion is
+// out. Time in which the engine is deaf does not count: nobody could tell it; nor what a router held that was
+// killed.
+func (r *Report) pinned() {
+	type held struct {
+		at                           float64
+		engine, dispatch, completion string
+	}
+	open, done := map[string]held{}, []held(nil)
+	ends := map[string]float64{} // by engine and dispatch of a done one, in done's order
+	out := map[string][]span{}   // dispatches by completion
+	running := map[string]int{}  // index into out, by engine and dispatch
+	deaf, routers := map[string][]span{}, map[string]string{}
+	var order []string
+	for _, e := range r.entries {
+		ev, at := e.GetEngine(), e.GetAtS()
+		id := ev.GetEngine() + " " + ev.GetDispatch()
+		switch ev.GetKind() {
+		case pb.EngineEvent_ARRIVED:
+			running[id] = len(out[ev.GetCompletion()])
+			out[ev.GetCompletion()] = append(out[ev.GetCompletion()], span{at, math.Inf(1)})
+			routers[ev.GetCompletion()] = ev.GetPeer()
+		case pb.EngineEvent_ENDED:
+			if i, known := running[id]; known {
+				out[ev.GetCompletion()][i].to = at
+			}
+		case pb.EngineEvent_STATE_HELD, pb.EngineEvent_PLACE_HELD:
+			open[id] = held{at, ev.GetEngine(), ev.GetDispatch(), ev.GetCompletion()}
+			order = append(order, id)
+		case pb.EngineEvent_STATE_TAKEN, pb.EngineEvent_STATE_RELEASED, pb.EngineEvent_STATE_LOST, pb.EngineEvent_STATE_EXPIRED,
+			pb.EngineEvent_PLACE_TAKEN, pb.EngineEvent_PLACE_RELEASED:
+			if _, known := open[id]; known {
+				ends[id] = at
+			}
+		case pb.EngineEvent_DEAF, pb.EngineEvent_DOWN:
+			deaf[ev.GetEngine()] = append(deaf[ev.GetEngine()], span{at, math.Inf(1)})
+		case pb.EngineEvent_HEARS, pb.EngineEvent_UP:
+			for i := range deaf[ev.GetEngine()] {
+				if s := &deaf[ev.GetEngine()][i]; math.IsInf(s.to, 1) {
+					s.to = at
+				}
+			}
+		}
+	}
+	for _, id := range order {
+		done = append(done, open[id])
+	}
+	for i, h := range done {
+		end, ended := ends[order[i]]
+		if !ended {
+			end = r.end
+		}
+		r.Checked[NothingPinned]++
+		if r.killed(routers[h.completion], h.at, end) {
+			continue
+		}
+		busy := append(append([]span(nil), out[h.completion]...), deaf[h.engine]...)
+		if from, gap := longestGap(h.at, end, busy); gap > r.head.GetLetGoS() {
+			r.breach(NothingPinned, from, "dispatch "+h.dispatch, "held at %s for %.3f s while nothing was out, the limit is %.3f s",
+				h.engine, gap, r.head.GetLetGoS())
+		}
+	}
+}
+
+// longestGap is the longest stretch from, to that no span covers.
+func longestGap(from, to float64, spans []span) (at, gap float64) {
+	sort.Slice(spans, func(i, j int) bool { return spans[i].from < spans[j].from })
+	free := from
+	for _, s := range spans {
+		if s.from > free {
+			if g := min(s.from, to) - free; g > gap {
+				at, gap = free, g
+			}
+		}
+		free = max(free, s.to)
+	}
+	if to-free > gap {
+		at, gap = free, to-free
+	}
+	return at, gap
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -14,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"cherryhub/internal/loopback"
 	pb "cherryhub/proto"
 )
 
@@ -92,11 +93,10 @@
 func (e *Engine) listen(address string) error {
 	var ln net.Listener
 	var err error
-	for range 100 { // the port may still be in use by a connection that ends
-		if ln, err = net.Listen("tcp", address); err == nil {
-			break
-		}
-		time.Sleep(5 * time.Millisecond)
+	if host, port, _ := net.SplitHostPort(address); port == "0" {
+		ln, err = loopback.Listen(host)
+	} else {
+		ln, err = net.Listen("tcp", address)
 	}
 	if err != nil {
 		return fmt.Errorf("engine %s: %w", e.name, err)
