Outcomes by cause on the socket, hard cases of the edge, a place granted late is let go

Need: each decide.Outcome has one defined cause; the edge's hard cases must hold under the race detector. Change: tests with scripted engines (25 causes) and a scripted planner (second copy, same instant, leaving clients, slow clients, huge bodies, stalled planner), fuzz targets with seeds. A place that a paused engine grants after its write was sent is released; the list service tells no older version; Hertz's log level is set once.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -32,6 +32,7 @@
 	runs    []*run
 	out     int // dispatches that run
 	handled bool
+	wrote   bool     // a write was sent
 	state   *holding // the state that waits at a reader
 	place   *holding
 }
@@ -115,6 +116,7 @@
 	}
 	c.runs = append(c.runs, r)
 	c.out++
+	c.wrote = c.wrote || !r.reads
 	if !r.reads && c.state != nil {
 		r.state = c.state
 		r.state.used = true
@@ -380,7 +382,8 @@
 			c.place = h
 			h.used = true
 			h.timer = time.AfterFunc(0, func() {})
-			late := c.handled || c.out == 0
+			// A write that was sent before does not know of the place and takes no other's.
+			late := c.handled || c.out == 0 || c.wrote
 			if late {
 				c.place = nil
 			}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -123,6 +123,9 @@
 	open map[uint64]*completion
 }
 
+// Hertz logs to a logger of the whole process; what matters of it comes back as errors.
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
 // New makes an edge. Its planner must be set with Plan before Serve.
 func New(o Options) *Edge {
 	e := &Edge{o: o, models: map[string]int{}, tenants: map[[32]byte]int{}, nobody: -1}
@@ -149,12 +152,11 @@
 			e.nobody = i
 		}
 	}
-	hlog.SetLevel(hlog.LevelFatal)
 	e.server = server.New(server.WithListener(o.Listener), server.WithTransport(netpoll.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(o.Limits.MaxBodyBytes), server.WithMaxHeaderBytes(o.Limits.MaxHeaderBytes),
 		server.WithReadTimeout(o.Idle), server.WithIdleTimeout(o.Idle), server.WithKeepAliveTimeout(o.Idle),
-		server.WithWriteTimeout(o.ClientWrite), server.WithExitWaitTime(time.Second), server.WithRedirectTrailingSlash(false))
+		server.WithWriteTimeout(o.ClientWrite), server.WithExitWaitTime(time.Second), server.WithRedirectTrailingSlash(false), server.WithHandleMethodNotAllowed(true))
 	e.server.POST("/v1/chat/completions", e.complete)
 	e.server.GET("/v1/models", e.listModels)
 	e.server.NoRoute(func(_ context.Context, rc *app.RequestContext) {
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,484 @@
+package edge
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+)
+
+// script is a planner that does as a test says.
+type script struct {
+	mu    sync.Mutex
+	e     *Edge
+	facts []link.Fact
+	told  func(s *script, f link.Fact) // nil: it is stalled
+	full  bool
+}
+
+func (s *script) Offer(f link.Fact) bool {
+	if !s.full {
+		s.Tell(f)
+	}
+	return !s.full
+}
+
+func (s *script) Tell(f link.Fact) {
+	s.mu.Lock()
+	s.facts = append(s.facts, f)
+	s.mu.Unlock()
+	if s.told != nil {
+		go s.told(s, f)
+	}
+}
+
+func (s *script) count(kind link.FactKind) (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.facts {
+		if f.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *script) order(kind link.OrderKind, of link.Fact, n int, address string) {
+	s.e.Order(link.Order{Kind: kind, Completion: of.Completion, Dispatch: n, Engine: link.Engine{Address: address}, Timeout: 5})
+}
+
+type quiet struct{}
+
+func (quiet) Took(int)                                       {}
+func (quiet) Answered(int, Answer, time.Duration)            {}
+func (quiet) FirstToken(int, time.Duration)                  {}
+func (quiet) Dispatched(bool, decide.Outcome, time.Duration) {}
+func (quiet) Refused(int)                                    {}
+func (quiet) Released(string)                                {}
+
+// serve starts an edge with a scripted planner.
+func serve(t *testing.T, s *script, change func(*Options)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	client, err := engine.NewClient(engine.Options{ConnectTimeout: time.Second, ProbeTimeout: time.Second, IdleConn: time.Second,
+		StreamIdle: 2 * time.Second, MaxEventBytes: 1 << 16})
+	require.NoError(t, err)
+	o := Options{Listener: ln, Workloads: []Workload{{Name: "m", Models: []string{"m"}, Timeout: 600 * time.Millisecond, Most: 9},
+		{Name: "once", Models: []string{"once"}, Timeout: 600 * time.Millisecond, Effect: decide.NonIdempotent, Most: 9}},
+		Limits:   Limits{MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, MaxDepth: 20, MaxMessages: 10, MaxAnswerBytes: 1 << 20},
+		Identity: Identity{SessionFrom: []string{"prompt_cache_key"}, SharedFromLeading: true, BytesPerToken: 4},
+		Margin:   100 * time.Millisecond, LetGo: 300 * time.Millisecond, StreamMost: 20 * time.Second, ClientWrite: 500 * time.Millisecond,
+		Idle: 5 * time.Second, ComeBack: time.Second, Engines: client, Log: slog.New(slog.DiscardHandler), Observe: quiet{}}
+	if change != nil {
+		change(&o)
+	}
+	s.e = New(o)
+	s.e.Plan(s)
+	go s.e.Serve() //nolint:errcheck // ends with Stop
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		assert.NoError(t, s.e.Stop(ctx))
+		client.Close()
+	})
+	return "http://" + ln.Addr().String()
+}
+
+// writer is an engine that streams tokens, a pause before each.
+func writer(t *testing.T, tokens int, pause time.Duration, text string) (address string, calls *atomic.Int64) {
+	calls = &atomic.Int64{}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for range tokens {
+			time.Sleep(pause)
+			if r.Context().Err() != nil {
+				return
+			}
+			fmt.Fprintf(w, "data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", text)
+			w.(http.Flusher).Flush()
+		}
+		io.WriteString(w, "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n") //nolint:errcheck // the test sees it
+	})}
+	go server.Serve(ln) //nolint:errcheck // ends with Close
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String(), calls
+}
+
+func post(t *testing.T, url, body string) (*http.Response, string) {
+	resp, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp, string(text)
+}
+
+const streamed = `{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`
+const whole = `{"model":"m","messages":[{"role":"user","content":"x"}]}`
+
+// TestBadCalls: each is answered at once in OpenAI's shape, and the planner hears of none.
+func TestBadCalls(t *testing.T) {
+	s := &script{}
+	url := serve(t, s, func(o *Options) { o.Limits.MaxBodyBytes = 4 << 10 })
+	msg := func(m string) string { return `{"model":"m","messages":` + m + `}` }
+	for name, c := range map[string]struct {
+		body   string
+		status int
+		says   string
+	}{
+		"empty":                 {"", 400, "not JSON"},
+		"not JSON":              {"{", 400, "not JSON"},
+		"no object":             {"[1]", 400, "no JSON object"},
+		"huge":                  {msg(`"` + strings.Repeat("x", 5000) + `"`), 413, "longer than 4096 bytes"},
+		"deep":                  {msg(strings.Repeat("[", 1000) + strings.Repeat("]", 1000)), 400, "nested more than 20 deep"},
+		"brackets in a string":  {`{"model":"m","messages":[],"user":"[[[[[[[[[[[[[[[[[[[[[[[[[["}`, 400, "must not be empty"},
+		"no model":              {`{"messages":[{"role":"user","content":"x"}]}`, 400, "model is missing"},
+		"model of a wrong type": {`{"model":3,"messages":[{"role":"user"}]}`, 400, "model must be a string"},
+		"unknown model":         {`{"model":"z","messages":[{"role":"user","content":"x"}]}`, 404, "does not exist"},
+		"no messages":           {`{"model":"m"}`, 400, "messages are missing"},
+		"null messages":         {msg("null"), 400, "messages are missing"},
+		"messages no array":     {msg("{}"), 400, "must be an array"},
+		"no message":            {msg("[]"), 400, "must not be empty"},
+		"a message no object":   {msg("[1]"), 400, "messages[0]"},
+		"no role":               {msg(`[{"content":"x"}]`), 400, "messages[0].role"},
+		"content a number":      {msg(`[{"role":"user","content":5}]`), 400, "messages[0].content"},
+		"a part no object":      {msg(`[{"role":"user","content":["x"]}]`), 400, "a part of content"},
+		"too many messages":     {msg("[" + strings.Repeat(`{"role":"user"},`, 10) + `{"role":"user"}]`), 400, "more than 10 messages"},
+		"stream a string":       {`{"model":"m","stream":"yes","messages":[{"role":"user"}]}`, 400, "stream must be"},
+		"usage without stream":  {`{"model":"m","stream_options":{"include_usage":true},"messages":[{"role":"user"}]}`, 400, "only allowed with stream"},
+		"n of 2":                {`{"model":"m","n":2,"messages":[{"role":"user"}]}`, 400, "n must be 1"},
+		"max_tokens 0":          {`{"model":"m","max_tokens":0,"messages":[{"role":"user"}]}`, 400, "max_tokens must be"},
+		"max_tokens a half":     {`{"model":"m","max_tokens":1.5,"messages":[{"role":"user"}]}`, 400, "max_tokens must be"},
+		"a field twice":         {`{"model":"m","model":"z","messages":[{"role":"user"}]}`, 400, "given twice"},
+		"too many fields":       {"{" + strings.Repeat(`"a`, 1) + `":1` + fields(200) + "}", 400, "more than 128 fields"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			began := time.Now()
+			resp, text := post(t, url, c.body)
+			assert.Equal(t, c.status, resp.StatusCode)
+			var shape struct {
+				Error struct{ Message, Type, Param string }
+			}
+			require.NoError(t, json.Unmarshal([]byte(text), &shape), text)
+			assert.Contains(t, shape.Error.Param+": "+shape.Error.Message, c.says)
+			assert.Equal(t, "invalid_request_error", shape.Error.Type)
+			assert.Less(t, time.Since(began), 300*time.Millisecond)
+		})
+	}
+	for _, call := range []struct {
+		method, path string
+		status       int
+	}{{"GET", "/v1/chat/completions", 405}, {"GET", "/v1/nothing", 404}, {"GET", "/v1/models", 200}} {
+		req, err := http.NewRequest(call.method, url+call.path, nil)
+		require.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, call.status, resp.StatusCode, call.path)
+	}
+	assert.Empty(t, s.facts)
+}
+
+func fields(n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, `,"f%d":1`, i)
+	}
+	return b.String()
+}
+
+// TestHugeBody: one that says a gigabyte, or sends chunks without end, is refused at once and hung up on.
+func TestHugeBody(t *testing.T) {
+	url := serve(t, &script{}, nil)
+	for name, head := range map[string]string{"length": "Content-Length: 1000000000\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n%s", head)
+			go func() {
+				for {
+					text := strings.Repeat("x", 1000)
+					if name == "chunks" {
+						text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			}()
+			conn.SetReadDeadline(time.Now().Add(3 * time.Second)) //nolint:errcheck // a test
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			assert.Equal(t, 413, resp.StatusCode)
+			assert.True(t, resp.Close)
+		})
+	}
+}
+
+// TestStalledPlanner: the edge answers before the client timeout by itself and tells so.
+func TestStalledPlanner(t *testing.T) {
+	s := &script{}
+	url := serve(t, s, nil)
+	for body, retry := range map[string]string{streamed: "", strings.Replace(whole, `"m"`, `"once"`, 1): "false"} {
+		began := time.Now()
+		resp, text := post(t, url, body)
+		assert.Equal(t, 504, resp.StatusCode, text)
+		assert.Equal(t, retry, resp.Header.Get("X-Should-Retry"))
+		assert.Less(t, time.Since(began), 600*time.Millisecond)
+	}
+	assert.Equal(t, 2, s.count(link.Left))
+}
+
+// TestStatedTimeout: a shorter timeout that the client states holds.
+func TestStatedTimeout(t *testing.T) {
+	url := serve(t, &script{}, nil)
+	for _, name := range timeoutHeaders {
+		req, err := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(whole))
+		require.NoError(t, err)
+		req.Header.Set(name, "0.2")
+		began := time.Now()
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, 504, resp.StatusCode)
+		assert.Less(t, time.Since(began), 200*time.Millisecond)
+	}
+}
+
+// TestFullPlanner: what is not taken is refused at once with a time to come back.
+func TestFullPlanner(t *testing.T) {
+	s := &script{full: true}
+	resp, text := post(t, serve(t, s, nil), whole)
+	assert.Equal(t, 429, resp.StatusCode)
+	assert.Equal(t, "1000", resp.Header.Get("Retry-After-Ms"))
+	assert.Contains(t, text, "not taken")
+}
+
+// TestSecondCopy: of two dispatches that both answer one wins, and no token of the other reaches the client.
+func TestSecondCopy(t *testing.T) {
+	a, _ := writer(t, 5, 2*time.Millisecond, "a")
+	b, _ := writer(t, 5, 2*time.Millisecond, "b")
+	s := &script{told: func(s *script, f link.Fact) {
+		if f.Kind == link.Take {
+			s.order(link.Dispatch, f, 0, a)
+			s.order(link.Dispatch, f, 1, b)
+		}
+	}}
+	url := serve(t, s, nil)
+	for range 30 {
+		_, text := post(t, url, streamed)
+		hasA, hasB := strings.Count(text, `"a"`), strings.Count(text, `"b"`)
+		assert.True(t, hasA == 5 && hasB == 0 || hasA == 0 && hasB == 5, text)
+		assert.Equal(t, 1, strings.Count(text, "[DONE]"))
+	}
+	assert.Eventually(t, func() bool { return s.count(link.Ended) == 60 }, 2*time.Second, 5*time.Millisecond, "each dispatch has its end")
+	assert.Equal(t, 30, s.count(link.Started))
+}
+
+// TestSameInstant: the planner's final answer and an engine's first token come together. There is one answer,
+// whole, whichever it is.
+func TestSameInstant(t *testing.T) {
+	a, _ := writer(t, 2, 5*time.Millisecond, "a")
+	s := &script{told: func(s *script, f link.Fact) {
+		if f.Kind == link.Take {
+			s.order(link.Dispatch, f, 0, a)
+			time.Sleep(5*time.Millisecond + time.Duration(f.Completion%40)*50*time.Microsecond)
+			s.order(link.RateLimit, f, 0, "")
+			s.order(link.Cancel, f, 0, "")
+		}
+	}}
+	url := serve(t, s, nil)
+	kinds := map[int]int{}
+	for range 80 {
+		resp, text := post(t, url, streamed)
+		kinds[resp.StatusCode]++
+		if resp.StatusCode == 200 {
+			assert.True(t, strings.HasSuffix(text, "data: [DONE]\n\n"), text)
+			assert.Equal(t, 2, strings.Count(text, `"a"`))
+		} else {
+			assert.Equal(t, 429, resp.StatusCode)
+			assert.NotContains(t, text, `"a"`)
+		}
+	}
+	assert.Equal(t, 80, kinds[200]+kinds[429])
+	assert.Eventually(t, func() bool { return s.count(link.Ended) == 80 }, 2*time.Second, 5*time.Millisecond)
+}
+
+// TestClientLeaves: a client that leaves, before its first token or in the stream, ends its dispatch in 50 ms.
+func TestClientLeaves(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"before the first token": 300 * time.Millisecond, "in the stream": 10 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			ended, arrived := make(chan time.Time, 1), make(chan struct{}, 1)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				io.ReadAll(r.Body) //nolint:errcheck // so that the server sees the connection's end
+				arrived <- struct{}{}
+				w.Header().Set("Content-Type", "text/event-stream")
+				for r.Context().Err() == nil {
+					select {
+					case <-r.Context().Done():
+						continue
+					case <-time.After(wait):
+					}
+					fmt.Fprint(w, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"a\"},\"finish_reason\":null}]}\n\n")
+					w.(http.Flusher).Flush()
+				}
+				ended <- time.Now()
+			})}
+			go server.Serve(ln) //nolint:errcheck // ends with Close
+			defer server.Close()
+			s := &script{told: func(s *script, f link.Fact) {
+				if f.Kind == link.Take {
+					s.order(link.Dispatch, f, 0, ln.Addr().String())
+				}
+			}}
+			url := serve(t, s, nil)
+			ctx, leave := context.WithCancel(context.Background())
+			req, err := http.NewRequestWithContext(ctx, "POST", url+"/v1/chat/completions", strings.NewReader(streamed))
+			require.NoError(t, err)
+			go http.DefaultClient.Do(req) //nolint:errcheck,bodyclose // it leaves
+			<-arrived
+			time.Sleep(60 * time.Millisecond)
+			at := time.Now()
+			leave()
+			assert.Less(t, (<-ended).Sub(at), 50*time.Millisecond)
+			assert.Eventually(t, func() bool { return s.count(link.Left) == 1 && s.count(link.Ended) == 1 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
+// TestStateOfStalledPlanner: a state that no order takes or lets go is let go by the edge within the limit.
+func TestStateOfStalledPlanner(t *testing.T) {
+	held, released := make(chan time.Time, 1), make(chan time.Time, 4)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "DELETE" {
+			released <- time.Now()
+			return
+		}
+		held <- time.Now()
+		io.WriteString(w, `{"kv_transfer_params":{"a":1}}`) //nolint:errcheck // the test sees it
+	})}
+	go server.Serve(ln) //nolint:errcheck // ends with Close
+	defer server.Close()
+	s := &script{told: func(s *script, f link.Fact) {
+		if f.Kind == link.Take {
+			s.e.Order(link.Order{Kind: link.Dispatch, Completion: f.Completion, Reads: true, Engine: link.Engine{Address: ln.Addr().String()}, Timeout: 5})
+		}
+	}}
+	url := serve(t, s, nil)
+	resp, _ := post(t, url, whole)
+	assert.Equal(t, 504, resp.StatusCode)
+	assert.Less(t, (<-released).Sub(<-held), 300*time.Millisecond)
+}
+
+// TestSlowClient: a client that reads nothing holds up no other stream, and is ended.
+func TestSlowClient(t *testing.T) {
+	a, calls := writer(t, 4000, 0, strings.Repeat("a", 4000)) // 16 MB
+	b, _ := writer(t, 20, 5*time.Millisecond, "b")
+	s := &script{told: func(s *script, f link.Fact) {
+		if f.Kind == link.Take && f.Completion == 1 {
+			s.order(link.Dispatch, f, 0, a)
+		} else if f.Kind == link.Take {
+			s.order(link.Dispatch, f, 0, b)
+		}
+	}}
+	url := serve(t, s, nil)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	conn.(*net.TCPConn).SetReadBuffer(4 << 10) //nolint:errcheck // a test
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(streamed), streamed)
+	assert.Eventually(t, func() bool { return calls.Load() == 1 }, time.Second, time.Millisecond)
+	for range 3 {
+		began := time.Now()
+		_, text := post(t, url, streamed)
+		assert.Equal(t, 20, strings.Count(text, `"b"`))
+		assert.Less(t, time.Since(began), 600*time.Millisecond)
+	}
+	assert.Eventually(t, func() bool { return s.count(link.Left) == 1 }, 3*time.Second, 10*time.Millisecond, "it is ended")
+	assert.Eventually(t, func() bool { return s.count(link.Ended) == 4 }, time.Second, 10*time.Millisecond)
+}
+
+func TestKeys(t *testing.T) {
+	url := serve(t, &script{full: true}, func(o *Options) {
+		o.Tenants = []Tenant{{Name: "a", Keys: [][32]byte{sha("key-a")}}}
+	})
+	for header, status := range map[string]int{"": 401, "Bearer key-b": 401, "Bearer key-a": 429, "key-a": 401} {
+		req, err := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(whole))
+		require.NoError(t, err)
+		req.Header.Set("Authorization", header)
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, status, resp.StatusCode, header)
+	}
+}
+
+func TestIdentity(t *testing.T) {
+	l, id := Limits{MaxDepth: 20, MaxMessages: 100}, Identity{SessionFrom: []string{"prompt_cache_key", "user"}, SharedFromLeading: true, BytesPerToken: 4}
+	parse := func(body string) *chat {
+		c, bad := parseChat([]byte(body), l, id)
+		require.Nil(t, bad)
+		return c
+	}
+	a := parse(`{"model":"m","prompt_cache_key":"s","messages":[{"role":"system","content":"aaaaaaaa"},{"role":"user","content":"bbbb"}]}`)
+	b := parse(`{"messages":[{"role":"system","content":"aaaaaaaa"},{"role":"user","content":"c"},{"role":"system","content":"z"}],"user":"s","model":"m"}`)
+	assert.Equal(t, a.shared, b.shared)
+	assert.Equal(t, a.session, b.session)
+	assert.NotZero(t, a.session)
+	assert.Equal(t, 6.0, a.sharedLen)
+	assert.Equal(t, 11.0, a.prompt)
+	c := parse(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"abcd"},{"type":"image_url"}]}],"odd":{"x":[1]}}`)
+	assert.Zero(t, c.shared)
+	assert.Zero(t, c.session)
+	assert.Equal(t, 5.0, c.prompt)
+	assert.Len(t, c.fields, 3)
+}
+
+// FuzzParseChat: any body gives a call or an error, and what goes on to engines is JSON.
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(streamed))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"\ud800"}]}],"max_tokens":1e3,"n":1.0}`))
+	f.Add([]byte(`{"a\"\\":{"b":[{}]},"model":"m","messages":[{"role":"\u0000","content":null}],"stream":true,"stream_options":{"include_usage":true}}`))
+	f.Add([]byte(strings.Repeat("[", 100)))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, bad := parseChat(body, Limits{MaxDepth: 20, MaxMessages: 10}, Identity{SessionFrom: []string{"user"}, SharedFromLeading: true, BytesPerToken: 4})
+		if (c == nil) == (bad == nil) {
+			t.Fatal("a call or an error")
+		}
+		if bad != nil {
+			require.Equal(t, 400, bad.status)
+			require.True(t, json.Valid(bad.body()))
+			return
+		}
+		require.True(t, json.Valid(engine.WriteBody(c.fields, nil, 5)))
+		require.True(t, json.Valid(engine.ReadBody(c.fields)))
+		require.GreaterOrEqual(t, c.prompt, c.sharedLen)
+	})
+}
+
+func sha(key string) [32]byte { return sha256.Sum256([]byte(key)) }
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,332 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+)
+
+// peer is an engine of a few bytes: each connection gets a call's bytes read and then the script.
+func peer(t *testing.T, script func(conn net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, r.Body) //nolint:errcheck // as far as it comes
+				script(conn)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func reset(conn net.Conn) {
+	conn.(*net.TCPConn).SetLinger(0) //nolint:errcheck // a test
+	conn.Close()
+}
+
+const (
+	okHead    = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	role      = `data: {"choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}]}` + "\n\n"
+	token     = `data: {"choices":[{"index":0,"delta":{"content":"a"},"finish_reason":null}]}` + "\n\n"
+	stop      = `data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}` + "\n\n"
+	usageText = `data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}}` + "\n\n"
+	done      = "data: [DONE]\n\n"
+)
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func say(texts ...string) func(net.Conn) {
+	return func(conn net.Conn) { io.WriteString(conn, strings.Join(texts, "")) } //nolint:errcheck // the test sees it
+}
+
+func wait(texts ...string) func(net.Conn) {
+	return func(conn net.Conn) {
+		say(texts...)(conn)
+		io.Copy(io.Discard, conn) //nolint:errcheck // until the client closes
+	}
+}
+
+func client(t *testing.T) *Client {
+	c, err := NewClient(Options{ConnectTimeout: 200 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond, IdleConn: time.Second,
+		StreamIdle: 150 * time.Millisecond, MaxEventBytes: 4096, Figures: Figures{
+			{Column: "queue", ORCA: "named_metrics.waiting", Prometheus: "vllm:num_requests_waiting", Sum: true},
+			{Column: "x0", ORCA: "named_metrics.kv", Prometheus: "vllm:kv_cache_usage_perc"}}})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// write makes a whole write and returns what it came to, the events, and how long it took.
+func write(t *testing.T, address string, timeout time.Duration, cancelAfter time.Duration) (*Result, int, time.Duration) {
+	c, began := client(t), time.Now()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	if cancelAfter > 0 {
+		time.AfterFunc(cancelAfter, func() { cancel(ErrCancelled) })
+	}
+	s, result := c.Write(ctx, cancel, &Call{Address: address, ID: "c-0", Key: "k", Body: []byte(`{}`)}, timeout)
+	events := 0
+	if s != nil {
+		for {
+			if _, err := s.Next(); err != nil {
+				break
+			}
+			events++
+		}
+		result = s.Close()
+	}
+	return result, events, time.Since(began)
+}
+
+// TestOutcomes holds each outcome to its cause on the socket, as docs/outcomes.md lists them.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		script  func(net.Conn)
+		outcome decide.Outcome
+		events  int
+		done    bool
+		found   float64
+		cancel  time.Duration
+	}{
+		"whole answer":              {wait(okHead, chunk(role), chunk(token), chunk(token+stop), chunk(usageText+done), "0\r\n\r\n"), decide.Finished, 5, false, 4, 0},
+		"output after [DONE]":       {wait(okHead, chunk(token), chunk(stop+done+token), "0\r\n\r\n"), decide.Finished, 2, false, 0, 0},
+		"reset before a byte":       {reset, decide.Broken, 0, false, 0, 0},
+		"closed before a byte":      {say(), decide.Broken, 0, false, 0, 0},
+		"reset after a token":       {func(c net.Conn) { say(okHead, chunk(token))(c); time.Sleep(30 * time.Millisecond); reset(c) }, decide.Broken, 1, false, 0, 0},
+		"truncated":                 {say(okHead, chunk(token), "0\r\n\r\n"), decide.Broken, 1, false, 0, 0},
+		"full":                      {say("HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 0, 0},
+		"no state":                  {say("HTTP/1.1 424 Failed Dependency\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 1, 0},
+		"5xx":                       {say("HTTP/1.1 503 Bad\r\nContent-Length: 0\r\n\r\n"), decide.Errored, 0, false, 0, 0},
+		"the completion's fault":    {say("HTTP/1.1 400 Bad\r\nContent-Length: 2\r\n\r\n{}"), decide.Cancelled, 0, true, 0, 0},
+		"silent":                    {wait(), decide.TimedOut, 0, false, 0, 0},
+		"a byte a while":            {drip, decide.TimedOut, 0, false, 0, 0},
+		"silent after a token":      {wait(okHead, chunk(token)), decide.TimedOut, 1, false, 0, 0},
+		"no HTTP":                   {say("hello\r\n\r\n"), decide.Errored, 0, false, 0, 0},
+		"no event stream":           {say("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi"), decide.Errored, 0, false, 0, 0},
+		"no JSON":                   {wait(okHead, chunk("data: {\n\n")), decide.Errored, 0, false, 0, 0},
+		"no JSON after a token":     {wait(okHead, chunk(token), chunk("data: {\n\n")), decide.Errored, 1, false, 0, 0},
+		"its own error event":       {wait(okHead, chunk(`data: {"error":{"message":"x"}}`+"\n\n")), decide.Errored, 0, false, 0, 0},
+		"[DONE] without a reason":   {wait(okHead, chunk(token+done)), decide.Errored, 1, false, 0, 0},
+		"an event of any length":    {flood, decide.Errored, 0, false, 0, 0},
+		"headers of any length":     {headers, decide.Errored, 0, false, 0, 0},
+		"cancelled while it waits":  {wait(), decide.Cancelled, 0, false, 0, 50 * time.Millisecond},
+		"cancelled after a token":   {wait(okHead, chunk(token)), decide.Cancelled, 1, false, 0, 50 * time.Millisecond},
+		"roles for ever":            {wait(okHead, strings.Repeat(chunk(role), 40)), decide.Errored, 0, false, 0, 0},
+		"comments and other fields": {wait(okHead, chunk(": hi\n\nevent: x\nid: 3\n"+token+stop), chunk(done), "0\r\n\r\n"), decide.Finished, 2, false, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			result, events, took := write(t, peer(t, c.script), 300*time.Millisecond, c.cancel)
+			assert.Equal(t, c.outcome, result.Outcome, "%v", result.Err)
+			assert.Equal(t, c.events, events)
+			assert.Equal(t, c.done, result.Done)
+			assert.Equal(t, c.found, result.Found)
+			assert.Less(t, took, 2*time.Second)
+			assert.Equal(t, c.outcome == decide.Finished, result.Err == nil, "an error says what happened")
+		})
+	}
+}
+
+func drip(conn net.Conn) {
+	for _, b := range []byte(okHead + chunk(token)) {
+		if _, err := conn.Write([]byte{b}); err != nil {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func flood(conn net.Conn) {
+	say(okHead)(conn)
+	for {
+		if _, err := io.WriteString(conn, chunk("data: "+strings.Repeat("x", 1000))); err != nil {
+			return
+		}
+	}
+}
+
+func headers(conn net.Conn) {
+	say("HTTP/1.1 200 OK\r\n")(conn)
+	for {
+		if _, err := io.WriteString(conn, "X: "+strings.Repeat("x", 1000)+"\r\n"); err != nil {
+			return
+		}
+	}
+}
+
+func TestUnreachable(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln.Close()
+	result, _, _ := write(t, ln.Addr().String(), time.Second, 0)
+	assert.Equal(t, decide.Unreachable, result.Outcome)
+	assert.Equal(t, decide.Unreachable, ProbeOutcome(probe(t, ln.Addr().String())))
+}
+
+func probe(t *testing.T, address string) error {
+	_, err := client(t).Probe(context.Background(), address)
+	return err
+}
+
+// TestNeverRepeats: net/http repeats by itself what carries an Idempotency-Key when a kept connection breaks.
+// Here it must not: whether it ran is for the planner to judge.
+func TestNeverRepeats(t *testing.T) {
+	calls := make(chan string, 10)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { //nolint:errcheck // ends with the listener
+		calls <- r.Header.Get("X-Request-Id")
+		if r.Header.Get("X-Request-Id") == "c-1" {
+			panic(http.ErrAbortHandler) // closes the kept connection in the middle of the call
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		io.WriteString(w, token+stop+done) //nolint:errcheck // the test sees it
+	}))
+	c := client(t)
+	for i, want := range []decide.Outcome{decide.Finished, decide.Broken} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		s, result := c.Write(ctx, cancel, &Call{Address: ln.Addr().String(), ID: fmt.Sprintf("c-%d", i), Key: "k", Body: []byte(`{}`)}, time.Second)
+		if s != nil {
+			for err == nil {
+				_, err = s.Next()
+			}
+			err = nil
+			result = s.Close()
+		}
+		assert.Equal(t, want, result.Outcome)
+	}
+	time.Sleep(100 * time.Millisecond) // a repeat would come at once
+	assert.Len(t, calls, 2)
+}
+
+// TestCancelCloses: a dispatch that is cancelled closes its connection within 50 ms, before its first byte too.
+func TestCancelCloses(t *testing.T) {
+	for name, begin := range map[string]string{"before a byte": "", "in the stream": okHead + chunk(token)} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan time.Time, 1)
+			address := peer(t, func(conn net.Conn) { wait(begin)(conn); closed <- time.Now() })
+			c := client(t)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			go func() {
+				s, _ := c.Write(ctx, cancel, &Call{Address: address, ID: "c-0", Body: []byte(`{}`)}, time.Second)
+				if s != nil {
+					s.Next() //nolint:errcheck // until it is cancelled
+					s.Next() //nolint:errcheck // as above
+					s.Close()
+				}
+			}()
+			time.Sleep(80 * time.Millisecond)
+			at := time.Now()
+			cancel(ErrCancelled)
+			assert.Less(t, (<-closed).Sub(at), 50*time.Millisecond)
+		})
+	}
+}
+
+func TestRead(t *testing.T) {
+	answer := func(body string) func(net.Conn) {
+		return say(fmt.Sprintf("HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT named_metrics.waiting=3, named_metrics.kv=0.5\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+	}
+	for name, c := range map[string]struct {
+		script  func(net.Conn)
+		outcome decide.Outcome
+		state   string
+		found   float64
+	}{
+		"read":           {answer(`{"kv_transfer_params":{"remote_host":"h"},"usage":{"prompt_tokens_details":{"cached_tokens":7}}}`), decide.Read, `{"remote_host":"h"}`, 7},
+		"no state in it": {answer(`{"usage":{}}`), decide.Errored, "", 0},
+		"no JSON":        {answer(`{`), decide.Errored, "", 0},
+		"too long":       {answer(`{"a":"` + strings.Repeat("x", 5000) + `"}`), decide.Errored, "", 0},
+		"cut short":      {say("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"), decide.Broken, "", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var heard []float64
+			result := client(t).Read(context.Background(), &Call{Address: peer(t, c.script), ID: "c-0", Body: []byte(`{}`), Heard: func(r []float64) { heard = r }})
+			assert.Equal(t, c.outcome, result.Outcome, "%v", result.Err)
+			assert.Equal(t, c.state, string(result.State))
+			assert.Equal(t, c.found, result.Found)
+			if name != "cut short" {
+				assert.Equal(t, []float64{3, 0.5}, heard)
+			}
+		})
+	}
+}
+
+func TestReports(t *testing.T) {
+	f, nan := client(t).o.Figures, math.NaN()
+	for header, want := range map[string][]float64{
+		"TEXT named_metrics.waiting=2,named_metrics.kv=0.25, cpu=3": {2, 0.25},
+		"TEXT named_metrics.kv=0.25":                                {nan, 0.25},
+		`JSON {"named_metrics":{"waiting":2,"kv":0.25}}`:            {2, 0.25},
+		`JSON {"named_metrics":{"waiting":"2"}}`:                    nil,
+		"JSON {":                                                    nil,
+		"BIN abc":                                                   nil,
+		"TEXT named_metrics.waiting=-1, named_metrics.kv=Inf":       nil,
+		"": nil,
+		"TEXT named_metrics.waiting=x, named_metrics.kv=1, =, ,,a==b": {nan, 1},
+	} {
+		got := f.fromORCA(header)
+		assert.Equal(t, fmt.Sprint(want), fmt.Sprint(got), header)
+	}
+	got, err := f.fromPrometheus([]byte("vllm:num_requests_waiting{m=\"a\"} 2\nvllm:num_requests_waiting{m=\"b\"} 3\nvllm:kv_cache_usage_perc{m=\"a\"} 0.5\n"))
+	require.NoError(t, err)
+	assert.Equal(t, []float64{5, 0.5}, got)
+	_, err = f.fromPrometheus([]byte("{{{"))
+	assert.Error(t, err)
+}
+
+func TestBodies(t *testing.T) {
+	fields := []Field{{"model", []byte(`"model"`), []byte(`"m"`)}, {"max_tokens", []byte(`"max_tokens"`), []byte("9")},
+		{"stream", []byte(`"stream"`), []byte("false")}, {"odd\"", []byte(`"odd\""`), []byte(`[1]`)},
+		{"kv_transfer_params", []byte(`"kv_transfer_params"`), []byte(`{"from":"a client"}`)}}
+	assert.JSONEq(t, `{"model":"m","odd\"":[1],"max_tokens":1,"max_completion_tokens":1,"stream":false,"kv_transfer_params":`+askForState+`}`, string(ReadBody(fields)))
+	assert.JSONEq(t, `{"model":"m","odd\"":[1],"max_tokens":9,"kv_transfer_params":{"a":1},"stream":true,"stream_options":{"include_usage":true}}`,
+		string(WriteBody(fields, []byte(`{"a":1}`), 7)))
+	assert.JSONEq(t, `{"model":"m","max_tokens":7,"stream":true,"stream_options":{"include_usage":true}}`, string(WriteBody(fields[:1], nil, 7)))
+}
+
+// FuzzStream: whatever an engine sends, a stream ends, and it is finished only with a reason and [DONE].
+func FuzzStream(f *testing.F) {
+	for _, seed := range []string{token + stop + done, role + token, "data: {}\n\n", "data:\n\n", "data: [DONE]\n\n", ": x\n\ndata: " + strings.Repeat("[", 3000) + "\n\n"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := &Stream{c: &Client{o: Options{MaxEventBytes: 4096}}, r: bufio.NewReaderSize(bytes.NewReader(text), 64)}
+		for range len(text) + 2 {
+			if _, _, err := s.next(); err != nil {
+				if errors.Is(err, io.EOF) {
+					require.True(t, s.finish && s.done)
+					require.Contains(t, string(text), "[DONE]")
+				}
+				return
+			}
+		}
+		t.Fatal("a stream without an end")
+	})
+}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -175,7 +175,7 @@
 	if l.round != round {
 		return nil, nil, true
 	}
-	version := l.visible()
+	version := max(l.visible(), *sent) // told is told, though news is late from now on
 	entry := func(c change) fleet.Engine {
 		e := c.engine
 		if a := age(c.started); a >= 0 {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -98,9 +98,6 @@
 
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
 	peer := e.peer(r)
-	if !e.hear(r.Context(), peer) {
-		panic(http.ErrAbortHandler)
-	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<20))
 	if err != nil {
 		return
@@ -127,9 +124,12 @@
 	j.reads = j.call.Transfer != nil && j.call.Transfer.DoRemoteDecode
 	most := max(1, j.call.MaxTokens, j.call.MaxCompletionTokens)
 	j.answer = min(most, 1+int(xxhash.Sum64String(j.id+j.prompt)%uint64(2*e.set.GetMeanAnswerTokens())))
-	j.note(pb.EngineEvent_ARRIVED, "")
-	outcome := "done"
+	j.note(pb.EngineEvent_ARRIVED, "") // it is on the socket, whether the engine hears it or not
+	outcome := "deaf"
 	defer func() { j.note(pb.EngineEvent_ENDED, outcome) }()
+	if !e.hear(r.Context(), peer) {
+		panic(http.ErrAbortHandler)
+	}
 	if outcome = j.admit(w); outcome != "" {
 		return
 	}
