--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -179,7 +179,10 @@
 	}
 	c.giveBack(r.state, true) // a first token: the state was fetched
 	c.placeTaken(r.engine.Address)
-	if !c.won.CompareAndSwap(0, int32(r.n)+1) {
+	c.mu.Lock() // with cancel: what is cancelled does not win, what has won is not cancelled
+	won := r.ctx.Err() == nil && c.won.CompareAndSwap(0, int32(r.n)+1)
+	c.mu.Unlock()
+	if !won {
 		result = stream.Close()
 		result.Done = true
 		r.ended(result)
