--- a/cmd/cherryhub/serve.go
+++ b/cmd/cherryhub/serve.go
@@ -62,15 +62,14 @@
 	var file string
 	c := &cobra.Command{Use: "serve --config FILE", Short: "Serve as a router until a signal", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			r := &pb.Router{}
-			if err := settings(file, "", r); err != nil {
-				return err
-			}
-			one, err := router.Start(r, telemetry.Log(os.Stderr, r.GetLog()))
-			if err != nil {
-				return err
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			err := router.Serve(ctx, file, os.Stderr)
+			var bad config.Problem
+			if errors.As(err, &bad) || errors.Is(err, fs.ErrNotExist) {
+				return usage{err}
 			}
-			return errors.Join(untilSignal(one.Fault()), one.Stop())
+			return err
 		}}
 	c.Flags().StringVar(&file, "config", "", "settings of the router, protobuf text format")
 	c.MarkFlagRequired("config") //nolint:errcheck // the flag is there
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,150 @@
+package config
+
+import (
+	"io/fs"
+	"path"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/decide"
+	"cherryhub/deploy"
+	pb "cherryhub/proto"
+)
+
+const good = `machines { name: "w" role: WRITER }
+workloads { name: "chat" effect: IDEMPOTENT }
+list { url: "http://127.0.0.1:1/v1/engines" }
+`
+
+func TestProblems(t *testing.T) {
+	for name, c := range map[string]struct{ text, says string }{
+		"unknown field":        {good + "odd: 3", "f:4: unknown field: odd"},
+		"not text format":      {good + "drain_grace_s: {", "f:4: "},
+		"wrong type":           {good + "\nrouters: \"x\"", "f:5: "},
+		"out of range":         {good + "# a comment\n\ndrain_grace_s: 61", "f:6: drain_grace_s: 61 is out of range: from 0 to 60"},
+		"NaN":                  {good + "let_go_s: nan", "f:4: let_go_s: NaN is out of range: from 0.05 to 60"},
+		"inside a message":     {good + "timing {\n  tick_ms: 0\n}", "f:5: timing.tick_ms: 0 is out of range: from 1 to 1000"},
+		"of the second":        {good + "workloads {\n  name: \"b\"\n  value: -1\n}", "f:6: workloads[1].value: -1 is out of range"},
+		"missing name":         {good + "workloads {\n value: 1 }", "f:4: workloads[1].name: is missing"},
+		"nothing":              {"", "f: machines: is missing"},
+		"twice":                {good + "workloads { name: \"chat\" }", "f:4: workloads[1].name: \"chat\" is there twice"},
+		"model twice":          {good + "workloads { name: \"b\" models: \"x\" models: \"chat\" }", "f:4: workloads[1].models[1]: \"chat\" is there twice"},
+		"no list":              {strings.ReplaceAll(good, `url: "http://127.0.0.1:1/v1/engines"`, ""), "f:3: list: wants either url or file"},
+		"both lists":           {strings.ReplaceAll(good, "list {", `list { file: "x"`), "f:3: list: wants either url or file"},
+		"no URL":               {strings.ReplaceAll(good, "http://", "gopher://"), "f:3: list.url: \"gopher://127.0.0.1:1/v1/engines\" is no http:// URL"},
+		"nobody writes":        {strings.ReplaceAll(good, "WRITER", "READER"), "f:1: machines: none can write"},
+		"no role":              {strings.ReplaceAll(good, "role: WRITER", ""), "machines[0].role: is missing"},
+		"a key":                {good + `tenants { name: "a" key_sha256: "12" }`, "f:4: tenants[0].key_sha256[0]: must be the 64 hex digits"},
+		"a tenant of nobody":   {good + `tenants { name: "a" }`, "f:4: tenants[0]: has no key and is not anonymous"},
+		"two anonymous":        {good + `tenants { name: "a" anonymous: true } tenants { name: "b" anonymous: true }`, "tenants[1].anonymous: another tenant"},
+		"an address":           {good + `listen: "nowhere"`, "f:4: listen: \"nowhere\" is no address"},
+		"a port":               {good + `listen: "127.0.0.1:70000"`, "f:4: listen: "},
+		"no figure":            {good + `reports { waiting {} }`, "f:4: reports.waiting: names neither orca nor prometheus"},
+		"margin under ticks":   {good + `timing { answer_margin_ms: 10 }`, "f:4: timing.answer_margin_ms: 10 is under four ticks"},
+		"source no IP":         {good + `source_address: "host"`, "f:4: source_address: \"host\" is no IP address"},
+		"an unknown enum name": {good + "workloads { name: \"b\" effect: TWICE }", "f:4: "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.ErrorContains(t, Parse("f", []byte(c.text), &pb.Router{}), c.says)
+		})
+	}
+	assert.NoError(t, Parse("f", []byte(good), &pb.Router{}))
+	assert.ErrorContains(t, Load("/nowhere/at/all", &pb.Router{}), "/nowhere/at/all")
+	err := Parse("f", []byte(good+"let_go_s: 0\ndrain_grace_s: 99"), &pb.Router{})
+	assert.ErrorContains(t, err, "let_go_s")
+	assert.ErrorContains(t, err, "drain_grace_s", "all problems are told")
+}
+
+func TestDayProblems(t *testing.T) {
+	text, err := fs.ReadFile(deploy.Files, "days/sunday.textproto")
+	require.NoError(t, err)
+	for trouble, says := range map[string]string{
+		`kind: SLOW engines: "nobody"`:         "\"nobody\" is no engine and no set",
+		`kind: ZONE_CUT zone: "z"`:             "wants one of the zones, not \"z\"",
+		`kind: WORKLOAD_FAILS`:                 "wants one of the workloads, not \"\"",
+		`kind: ROUTER_KILLED router: "x"`:      "wants one of the routers",
+		`kind: FAILS_FAST size: 3`:             "3 is out of range: it is a share",
+		`at_s: 3`:                              "kind: is missing",
+		`kind: SLOW at_s: -1`:                  "at_s: -1 is out of range",
+		`kind: SLOW engines: "writer-4"`:       "",
+		`kind: SLOW engines: "writer" size: 9`: "",
+	} {
+		err := Parse("f", append(append([]byte(nil), text...), "\ntroubles { "+trouble+" }\n"...), &pb.Day{})
+		if says == "" {
+			assert.NoError(t, err)
+		} else {
+			assert.ErrorContains(t, err, says)
+		}
+	}
+}
+
+// TestShipped holds every file of deploy/ to its schema, and its effective text to itself.
+func TestShipped(t *testing.T) {
+	seen := 0
+	require.NoError(t, fs.WalkDir(deploy.Files, ".", func(name string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		seen++
+		text, err := fs.ReadFile(deploy.Files, name)
+		require.NoError(t, err)
+		empty := func() proto.Message {
+			switch {
+			case strings.HasPrefix(name, "days/"):
+				return &pb.Day{}
+			case strings.Contains(path.Base(name), "fleet"):
+				return &pb.Fleet{}
+			}
+			return &pb.Router{}
+		}
+		m := empty()
+		require.NoError(t, Parse(name, text, m))
+		again := empty()
+		require.NoError(t, Parse(name, []byte(Text(Effective(m))), again))
+		assert.True(t, proto.Equal(Effective(m), again), name)
+		return nil
+	}))
+	assert.GreaterOrEqual(t, seen, 6)
+}
+
+func TestDecide(t *testing.T) {
+	r := &pb.Router{}
+	require.NoError(t, Parse("f", []byte(good+`machines { name: "r" role: READER memory_tokens: 5000 }
+workloads { name: "b" effect: TOKENED group: CELL remembered_s: 9 latency_target_s_per_1000_tokens: 0.5 value: 2 token_target_ms: 80 }
+workloads { name: "c" }
+tenants { name: "t" anonymous: true share_per_s: 4 }
+routers: 3 seed: 5 cold { warm_s: 9 } prices { far_state: 0.5 } allowed { probes: false }`), r))
+	s := Decide(r)
+	assert.Equal(t, []decide.Role{decide.Writer, decide.Reader}, s.Roles)
+	assert.Equal(t, []float64{150000, 5000}, s.Memory)
+	assert.Equal(t, decide.Workload{Target: 1.5, TargetPerToken: 0.0005, TokenTarget: 0.08, Value: 2, Effect: decide.Tokened, Group: decide.GroupCell, Window: 9}, s.Workloads[1])
+	assert.Equal(t, decide.NonIdempotent, s.Workloads[2].Effect, "where nothing is said the strictest holds")
+	assert.Equal(t, []decide.Tenant{{Rate: 4}}, s.Tenants)
+	assert.Equal(t, []string{"queue", "x0"}, s.Columns, "vLLM's two figures")
+	assert.Equal(t, []any{3, uint64(5), 9.0, 0.5, false, 0.005}, []any{s.Routers, s.Seed, s.Warm, s.FarPrice, s.Probes, s.Tick})
+	_, err := decide.New(s, nil)
+	assert.NoError(t, err)
+}
+
+// FuzzParse: any text gives settings that can be started, or an error with a file's name.
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add(good + "workloads [{name: 'x'}, {name: 'y' value: 1e309}]")
+	f.Add("list: <url: 'http://a'>")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := &pb.Router{}
+		if err := Parse("file", []byte(text), r); err != nil {
+			require.ErrorContains(t, err, "file")
+			return
+		}
+		_, err := decide.New(Decide(r), nil)
+		require.NoError(t, err)
+		Edge(r)
+		Engine(r)
+		Planner(r)
+	})
+}
--- /dev/null
+++ b/internal/day/day_test.go
@@ -0,0 +1,80 @@
+package day
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/deploy"
+	"cherryhub/internal/config"
+	"cherryhub/internal/record"
+	"cherryhub/internal/router"
+	"cherryhub/internal/rules"
+	pb "cherryhub/proto"
+)
+
+// asRouter makes the test's own program a router: a day's routers are processes of their own.
+const asRouter = "CHERRYHUB_TEST_ROUTER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asRouter) == "" {
+		os.Exit(m.Run())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := router.Serve(ctx, os.Args[len(os.Args)-1], os.Stderr); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// play plays a day that ships and returns the rules' report.
+func play(t *testing.T, name string) *rules.Report {
+	text, err := fs.ReadFile(deploy.Files, name)
+	require.NoError(t, err)
+	d := &pb.Day{}
+	require.NoError(t, config.Parse(name, text, d))
+	dir := t.TempDir()
+	logs, err := os.Create(filepath.Join(dir, "logs"))
+	require.NoError(t, err)
+	defer logs.Close()
+	file := filepath.Join(dir, "record")
+	err = Play(t.Context(), d, Options{Router: []string{os.Args[0]}, Env: []string{asRouter + "=1"}, Dir: dir, Record: file, Logs: logs})
+	if err != nil {
+		text, _ := os.ReadFile(logs.Name())
+		t.Fatalf("%v\n%s", err, text[max(0, len(text)-8000):])
+	}
+	entries, err := record.ReadFile(file)
+	require.NoError(t, err)
+	report, err := rules.Check(entries)
+	require.NoError(t, err)
+	return report
+}
+
+// TestDays: the days that ship keep every rule, and each rule was put to the test.
+func TestDays(t *testing.T) {
+	for _, name := range []string{"days/sunday.textproto", "days/every.textproto"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			report := play(t, name)
+			for _, rule := range rules.Rules() {
+				assert.True(t, report.Kept(rule), "%v", rule)
+				assert.Greater(t, report.Checked[rule], 10, "%v was checked", rule)
+			}
+			for _, b := range report.Breaches {
+				t.Logf("%.3f s: %s: %s: %s", b.At, b.Name, b.Exchange, b.Text)
+			}
+			for _, w := range report.Works {
+				assert.Greater(t, w.Finished, w.Taken/2, "%s: %+v", w.Name, w)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,314 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cherryhub/decide"
+	"cherryhub/internal/link"
+)
+
+// book is an edge that keeps what is ordered.
+type book struct {
+	mu     sync.Mutex
+	orders []link.Order
+}
+
+func (b *book) Order(o link.Order) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.orders = append(b.orders, o)
+}
+
+func (b *book) of(kind link.OrderKind) (all []link.Order) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, o := range b.orders {
+		if o.Kind == kind {
+			all = append(all, o)
+		}
+	}
+	return all
+}
+
+func settings() decide.Settings {
+	return decide.Settings{Seed: 7, Routers: 1, Roles: []decide.Role{decide.Reader, decide.Writer}, Memory: []float64{2e5, 2e5},
+		Workloads:   []decide.Workload{{Target: 1.5, TokenTarget: 0.06, Value: 3}, {Target: 1, Value: 1, Effect: decide.NonIdempotent}},
+		WritersRead: true, Cancels: true, MaxDispatches: 4, MaxComeBack: 1, ColdShare: 0.3, Warm: 10, ColdMultiple: 2, ColdWindow: 2, Tick: 0.002}
+}
+
+func planner(t require.TestingT, change func(*decide.Settings, *Options)) (*Planner, *book) {
+	s, o, b := settings(), Options{Machines: []Machine{{"read", decide.Reader}, {"write", decide.Writer}}, MaxEngines: 8, Mailbox: 16,
+		MaxCompletions: 64, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, &book{}
+	if change != nil {
+		change(&s, &o)
+	}
+	p, err := New(s, o, b)
+	require.NoError(t, err)
+	return p, b
+}
+
+func entry(n int, machine string, phase decide.Phase) link.Entry {
+	return link.Entry{Address: fmt.Sprintf("10.0.0.%d:8000", n), Zone: "a", Cell: "a1", Machine: machine, Phase: phase, Age: -1}
+}
+
+func fleet(kind decide.List, entries ...link.Entry) link.Fact {
+	return link.Fact{Kind: link.Listed, List: &link.List{Kind: kind, Entries: entries}}
+}
+
+func take(id uint64, work int, tokens float64, left time.Duration) link.Fact {
+	return link.Fact{Kind: link.Take, Completion: id, Deadline: time.Now().Add(left),
+		Prompt: &decide.Prompt{Workload: work, Session: id, Len: tokens, MaxAnswer: 50}}
+}
+
+// step reads what is in the mailbox, as Run does.
+func (p *Planner) step() {
+	for _, f := range p.box.take(nil) {
+		p.guard(&f)
+	}
+	p.fire()
+}
+
+func TestMailbox(t *testing.T) {
+	p, _ := planner(t, func(_ *decide.Settings, o *Options) { o.Mailbox, o.MaxCompletions = 3, 5 })
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	offered := 0
+	for id := range uint64(9) {
+		if p.Offer(take(id+1, 0, 100, time.Second)) {
+			offered++
+		}
+	}
+	assert.Equal(t, 3, offered, "the offers that may wait")
+	for range 100 {
+		p.Tell(link.Fact{Kind: link.Left, Completion: 99})
+	}
+	waiting, open := p.box.sizes()
+	assert.Equal(t, 104, waiting, "what is told is never refused")
+	assert.Equal(t, 3, open)
+	p.step()
+	assert.True(t, p.Offer(take(21, 0, 100, time.Second)))
+	assert.True(t, p.Offer(take(22, 0, 100, time.Second)))
+	assert.False(t, p.Offer(take(23, 0, 100, time.Second)), "the completions that may be open")
+	p.step()
+	p.Tell(link.Fact{Kind: link.Left, Completion: 1})
+	p.Tell(link.Fact{Kind: link.Ended, Completion: 1, Outcome: decide.Cancelled})
+	p.step()
+	assert.True(t, p.Offer(take(24, 0, 100, time.Second)), "one is over")
+}
+
+// TestRunAnswersInTime: with an engine that never answers, the final answer comes before the client timeout.
+func TestRunAnswersInTime(t *testing.T) {
+	p, b := planner(t, nil)
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	began := time.Now()
+	p.Offer(take(1, 0, 100, 300*time.Millisecond))
+	require.Eventually(t, func() bool { return len(b.of(link.RateLimit)) == 1 }, time.Second, time.Millisecond)
+	assert.Less(t, time.Since(began), 300*time.Millisecond)
+	require.Len(t, b.of(link.Dispatch), 1)
+	assert.Len(t, b.of(link.Cancel), 1)
+	p.Tell(link.Fact{Kind: link.Ended, Completion: 1, Outcome: decide.Cancelled})
+	require.Eventually(t, func() bool { return p.Figures() == Figures{Busy: p.Figures().Busy} }, time.Second, time.Millisecond)
+	end()
+	<-ended
+}
+
+// TestReads: a long prompt goes to a reader as a read, and its state to a writer.
+func TestReads(t *testing.T) {
+	p, b := planner(t, nil)
+	p.Tell(fleet(decide.ListFull, entry(1, "read", decide.Ready), entry(2, "write", decide.Ready)))
+	p.Offer(take(1, 0, 5000, time.Second))
+	p.step()
+	p.Tell(link.Fact{Kind: link.Ended, Completion: 1, Outcome: decide.Read, Took: 0.1})
+	p.step()
+	sent := b.of(link.Dispatch)
+	require.Len(t, sent, 2)
+	assert.Equal(t, []any{true, "10.0.0.1:8000", 0}, []any{sent[0].Reads, sent[0].Engine.Address, sent[0].Dispatch})
+	assert.Equal(t, []any{false, "10.0.0.2:8000", 1}, []any{sent[1].Reads, sent[1].Engine.Address, sent[1].Dispatch})
+	p.Tell(link.Fact{Kind: link.Started, Completion: 1, Dispatch: 1, Took: 0.1})
+	p.Tell(link.Fact{Kind: link.Ended, Completion: 1, Dispatch: 1, Outcome: decide.Finished, Done: true})
+	p.step()
+	assert.Empty(t, p.open)
+}
+
+// TestPanic: a panic in decide costs its completion an abort and no more.
+func TestPanic(t *testing.T) {
+	p, b := planner(t, nil)
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	p.Offer(take(1, 99, 100, time.Second)) // a workload that is not there
+	p.Offer(take(2, 0, 100, time.Second))
+	p.step()
+	assert.Len(t, b.of(link.Abort), 1)
+	assert.Len(t, b.of(link.Dispatch), 1)
+	assert.Equal(t, int64(1), p.Figures().Faults)
+	assert.Equal(t, 1, p.Figures().Open)
+}
+
+// TestTimersBounded: timers of completions that are over don't pile up.
+func TestTimersBounded(t *testing.T) {
+	p, _ := planner(t, func(_ *decide.Settings, o *Options) { o.Mailbox = 1 << 20 })
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	for id := range uint64(20000) {
+		p.Offer(take(id, 0, 10, time.Hour))
+		p.Tell(link.Fact{Kind: link.Started, Completion: id})
+		p.Tell(link.Fact{Kind: link.Ended, Completion: id, Outcome: decide.Finished, Done: true})
+		p.step()
+	}
+	assert.Empty(t, p.open)
+	assert.Less(t, len(p.timers), 2500)
+}
+
+func TestEngines(t *testing.T) {
+	e := newEngines(2, []Machine{{"read", decide.Reader}}, "home", slog.New(slog.DiscardHandler))
+	list := func(kind decide.List, entries ...link.Entry) *link.List {
+		return &link.List{Kind: kind, Entries: entries}
+	}
+	young := entry(1, "read", decide.Ready)
+	young.Start, young.Age = 77, 3
+	facts := e.facts(10, list(decide.ListFull, young, entry(2, "odd", decide.Ready), entry(3, "read", decide.Ready)))
+	require.Len(t, facts, 2, "no more than may be known")
+	assert.Equal(t, 7.0, facts[0].Started)
+	assert.Equal(t, decide.Reader, e.known[0].role)
+	assert.Equal(t, 1, facts[0].Zone, "the router's own zone is 0")
+	assert.Equal(t, 1, facts[1].Kind, "an unknown machine is a kind of its own")
+	assert.Equal(t, decide.Mixed, e.known[1].role)
+	young.Age = 5.5
+	assert.Equal(t, 7.0, e.facts(12, list(decide.ListDelta, young))[0].Started, "one start has one age")
+	young.Start, young.Age = 78, 0.5
+	assert.Equal(t, 11.5, e.facts(12, list(decide.ListDelta, young))[0].Started, "a restart")
+	e.facts(20, list(decide.ListFull, young)) // 2 is gone
+	assert.Empty(t, e.facts(100, list(decide.ListDelta, entry(3, "read", decide.Ready))), "its index rests")
+	again := e.facts(20+indexRests+1, list(decide.ListDelta, entry(3, "read", decide.Ready)))
+	require.Len(t, again, 1)
+	assert.Equal(t, 1, again[0].Engine, "and serves another")
+	assert.Equal(t, "10.0.0.3:8000", e.name(1).Address)
+}
+
+// TestAnyOrder plays any legal course of facts and holds what is ordered to what every edge relies on.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, b := planner(t, func(s *decide.Settings, o *Options) { s.Places = rapid.Bool().Draw(t, "places"); o.Mailbox = 1000 })
+		now := 0.0
+		p.start = time.Now().Add(-time.Hour) // time is moved by hand below
+		type state struct {
+			out      map[int]bool
+			sent     int
+			finals   int
+			began    bool
+			done     bool
+			deadline float64
+		}
+		all, next, seen := map[uint64]*state{}, uint64(0), 0
+		machines := []string{"read", "write"}
+		settle := func() {
+			p.step()
+			for ; seen < len(b.orders); seen++ {
+				o := b.orders[seen]
+				c := all[o.Completion]
+				switch o.Kind {
+				case link.Dispatch:
+					require.Equal(t, c.sent, o.Dispatch, "numbered in order")
+					require.Zero(t, c.finals, "nothing is sent after the final answer")
+					require.False(t, c.done)
+					c.out[o.Dispatch] = true
+					c.sent++
+				case link.RateLimit, link.Abort:
+					c.finals++
+					require.Equal(t, 1, c.finals, "one final answer")
+					require.False(t, c.began, "an answer that began is the final one")
+				case link.Cancel:
+					require.Less(t, o.Dispatch, c.sent, "only what was sent is cancelled")
+				}
+			}
+		}
+		p.Tell(fleet(decide.ListFull, entry(1, "read", decide.Ready), entry(2, "write", decide.Ready), entry(3, "write", decide.Ready)))
+		settle()
+		pick := func() (uint64, *state, int) {
+			for id := uint64(1); id <= next; id++ {
+				for n := range all[id].sent {
+					if all[id].out[n] && rapid.Bool().Draw(t, "this") {
+						return id, all[id], n
+					}
+				}
+			}
+			return 0, nil, 0
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"take": func(t *rapid.T) {
+				next++
+				all[next] = &state{out: map[int]bool{}, deadline: now + 1}
+				p.Offer(take(next, rapid.IntRange(0, 1).Draw(t, "work"), rapid.Float64Range(1, 9000).Draw(t, "tokens"), time.Second))
+			},
+			"start": func(t *rapid.T) {
+				if id, c, n := pick(); c != nil && !c.began && c.finals == 0 && !c.done {
+					c.began = true
+					p.Tell(link.Fact{Kind: link.Started, Completion: id, Dispatch: n, Took: 0.1})
+				}
+			},
+			"end": func(t *rapid.T) {
+				if id, c, n := pick(); c != nil {
+					o := decide.Outcome(rapid.IntRange(int(decide.Finished), int(decide.Moot)).Draw(t, "outcome"))
+					delete(c.out, n)
+					c.done = c.done || o == decide.Finished || c.began
+					p.Tell(link.Fact{Kind: link.Ended, Completion: id, Dispatch: n, Outcome: o, Took: 0.1, Done: c.done})
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if id, c, _ := pick(); c != nil {
+					c.done = true
+					p.Tell(link.Fact{Kind: link.Left, Completion: id})
+				}
+			},
+			"list": func(t *rapid.T) {
+				n := rapid.IntRange(1, 4).Draw(t, "engine")
+				p.Tell(fleet(decide.ListDelta, entry(n, machines[min(n-1, 1)], decide.Phase(rapid.IntRange(0, 2).Draw(t, "phase")))))
+			},
+			"probe": func(t *rapid.T) {
+				p.Tell(link.Fact{Kind: link.Probed, Engine: rapid.IntRange(0, 9).Draw(t, "engine"), Outcome: decide.Finished, Report: []float64{math.NaN()}})
+			},
+			"time": func(t *rapid.T) {
+				d := rapid.Float64Range(0.001, 0.5).Draw(t, "seconds")
+				now += d
+				p.start = p.start.Add(-time.Duration(d * float64(time.Second)))
+			},
+			"": func(t *rapid.T) {
+				settle()
+				for id, c := range all {
+					if now > c.deadline && !c.began && !c.done {
+						require.Equal(t, 1, c.finals, "%d is answered in time", id)
+					}
+				}
+			},
+		})
+		for id, c := range all { // all end, and nothing is left
+			for n := range c.out {
+				p.Tell(link.Fact{Kind: link.Ended, Completion: id, Dispatch: n, Outcome: decide.Broken, Done: c.done || c.began})
+			}
+			c.out = map[int]bool{}
+			settle()
+		}
+		p.start = p.start.Add(-time.Minute)
+		for range 9 {
+			for id, c := range all {
+				for n := range c.out {
+					delete(c.out, n)
+					p.Tell(link.Fact{Kind: link.Ended, Completion: id, Dispatch: n, Outcome: decide.TimedOut})
+				}
+			}
+			settle()
+		}
+		require.Empty(t, p.open)
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -89,6 +90,23 @@
 	return one, nil
 }
 
+// Serve runs a router from a file of settings until the context ends, or a part of it does by itself.
+func Serve(ctx context.Context, file string, logs io.Writer) error {
+	r := &pb.Router{}
+	if err := config.Load(file, r); err != nil {
+		return err
+	}
+	one, err := Start(r, telemetry.Log(logs, r.GetLog()))
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case err = <-one.fault:
+	}
+	return errors.Join(err, one.Stop())
+}
+
 // Address is where clients come.
 func (r *Router) Address() string { return r.address.String() }
 
