A state that a writer could not reach is let go at its reader all the same

Cause: a reader that went down between read and fetch made the writer answer 424, which decide and edge took for a state that is gone; when the reader came back it held the state until its own clock, 26 s.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -173,7 +173,12 @@
 	}
 	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(engine.WriteBody(c.chat.fields, state, c.e.o.Workloads[c.work].Most)), timeout)
 	if stream == nil {
-		c.giveBack(r.state, result.Outcome == decide.Full && result.Found == 1)
+		missing := result.Outcome == decide.Full && result.Found == 1
+		c.giveBack(r.state, missing)
+		if missing && r.state != nil {
+			// The writer could not get it; a reader that was only out of its reach still holds it.
+			c.e.release(r.state, "missing")
+		}
 		r.ended(result)
 		return
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -194,7 +194,7 @@
 // forget empties its memory.
 func (e *Engine) forget() {
 	e.mu.Lock()
-	lost := e.states
+	lost, places := e.states, e.places
 	e.states, e.places, e.used = map[string]*state{}, map[string]float64{}, 0
 	e.kept, e.laneFree, e.unread = map[uint64]*list.Element{}, time.Time{}, 0
 	e.order.Init()
@@ -203,6 +203,9 @@
 		s.expires.Stop()
 		e.note(&pb.EngineEvent{Kind: pb.EngineEvent_STATE_LOST.Enum(), Dispatch: proto.String(id), Completion: proto.String(s.name)})
 	}
+	for id := range places {
+		e.note(&pb.EngineEvent{Kind: pb.EngineEvent_PLACE_RELEASED.Enum(), Dispatch: proto.String(id), Completion: proto.String(completionOf(id)), Detail: proto.String("lost")})
+	}
 }
 
 // Flush drops a share of the kept text.
