--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -123,7 +123,7 @@
 	j.cached = e.cached(j.blocks)
 	j.reads = j.call.Transfer != nil && j.call.Transfer.DoRemoteDecode
 	most := max(1, j.call.MaxTokens, j.call.MaxCompletionTokens)
-	j.answer = min(most, 1+int(xxhash.Sum64String(j.id+j.prompt)%uint64(2*e.set.GetMeanAnswerTokens())))
+	j.answer = min(most, 1+int(xxhash.Sum64String(j.prompt)%uint64(2*e.set.GetMeanAnswerTokens())))
 	j.note(pb.EngineEvent_ARRIVED, "") // it is on the socket, whether the engine hears it or not
 	outcome := "deaf"
 	defer func() { j.note(pb.EngineEvent_ENDED, outcome) }()
