A place held ahead has a lease; a benchmark beside a plain reverse proxy

The hold call is ours, so it says how long the place is kept. Change: lease_ms in the hold call; an event of a stream is read in one pass; smaller buffers for engine connections; cherryhub bench measures router and proxy in turn (throughput, first token, CPU, memory a stream).

--- /dev/null
+++ b/cmd/cherryhub/bench.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cherryhub/internal/bench"
+)
+
+func benchCommand() *cobra.Command {
+	var o bench.Options
+	var asEngines, list, asProxy string
+	var engines []string
+	c := &cobra.Command{Use: "bench", Short: "Measure a router beside a plain reverse proxy, with stand-in engines", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			switch {
+			case asEngines != "":
+				return bench.Engines(asEngines, list)
+			case asProxy != "":
+				return bench.Proxy(asProxy, engines)
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+			defer stop()
+			var err error
+			if o.Self, err = os.Executable(); err != nil {
+				return fmt.Errorf("bench: %w", err)
+			}
+			o.Report = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
+			sides, err := bench.Run(ctx, o)
+			if err != nil {
+				return err
+			}
+			bench.Print(os.Stdout, sides)
+			return nil
+		}}
+	f := c.Flags()
+	f.IntVar(&o.Rounds, "rounds", 3, "rounds of router and proxy in turn")
+	f.DurationVar(&o.Length, "length", 5*time.Second, "length of one measurement")
+	f.IntVar(&o.Clients, "clients", 64, "clients at saturation")
+	f.IntVar(&o.Streams, "streams", 10000, "streams open at once for memory, 0 for none")
+	f.StringVar(&asEngines, "as-engines", "", "")
+	f.StringVar(&list, "list", "", "")
+	f.StringVar(&asProxy, "as-proxy", "", "")
+	f.StringSliceVar(&engines, "engines", nil, "")
+	for _, hidden := range []string{"as-engines", "list", "as-proxy", "engines"} {
+		f.MarkHidden(hidden) //nolint:errcheck // the flag is there
+	}
+	return c
+}
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -380,7 +380,7 @@
 		defer c.e.runs.Add(-1)
 		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
 		defer cancel()
-		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt)
+		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt, c.e.o.LetGo*letGoPart/100)
 		if err != nil {
 			c.e.o.Log.Debug("no place", "completion", c.name, "engine", h.address, "err", err)
 			c.e.release(h, "unsure")
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,7 +14,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -71,7 +70,7 @@
 	}
 	return &Client{o: o, http: &http.Client{
 		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 512,
-			IdleConnTimeout: o.IdleConn, MaxResponseHeaderBytes: maxHeaderBytes, ReadBufferSize: 2 << 10, WriteBufferSize: 4 << 10},
+			IdleConnTimeout: o.IdleConn, MaxResponseHeaderBytes: maxHeaderBytes, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}, nil
 }
@@ -216,9 +215,11 @@
 	return c.small(ctx, http.MethodDelete, address, "/v1/kv_states/"+id, nil, nil)
 }
 
-// Hold asks a writer for a place for a completion of so many prompt tokens; the call is cherryhub's own.
-func (c *Client) Hold(ctx context.Context, address, id string, tokens float64) (held bool, err error) {
-	body := []byte(`{"id":` + strconv.Quote(id) + `,"prompt_tokens":` + strconv.FormatFloat(tokens, 'f', 0, 64) + `}`)
+// Hold asks a writer for a place for a completion of so many prompt tokens; the call is cherryhub's own. The
+// writer drops the place by itself after the lease: it may grant it long after the call was given up, when it had
+// stood still, and no release that came before would find it.
+func (c *Client) Hold(ctx context.Context, address, id string, tokens float64, lease time.Duration) (held bool, err error) {
+	body := fmt.Appendf(nil, `{"id":%q,"prompt_tokens":%.0f,"lease_ms":%d}`, id, tokens, lease.Milliseconds())
 	err = c.small(ctx, http.MethodPost, address, "/v1/kv_places", body, func(answer []byte) error {
 		held = gjson.GetBytes(answer, "held").Bool()
 		return nil
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -27,12 +27,13 @@
 	buf    []byte
 	name   string
 
-	held     [][]byte // events from before the first token
-	finish   bool     // a finish_reason was seen
-	done     bool     // [DONE] was seen
-	usage    Usage
-	usageRaw bool
-	err      error
+	held   [][]byte // events from before the first token
+	finish bool     // a finish_reason was seen
+	done   bool     // [DONE] was seen
+	usage  Usage
+	told   bool // usage was
+	only   bool // the event read last holds usage and no choice
+	err    error
 }
 
 // Usage is what an answer's usage event says, in tokens.
@@ -58,7 +59,7 @@
 		s.timer.Stop()
 		return nil, bad
 	}
-	s.resp, s.r = resp, bufio.NewReaderSize(resp.Body, 2<<10)
+	s.resp, s.r = resp, bufio.NewReaderSize(resp.Body, 1<<10)
 	if kind := resp.Header.Get("Content-Type"); !strings.HasPrefix(kind, "text/event-stream") {
 		s.err = fmt.Errorf("%w: content type %q", errMalformed, kind)
 	}
@@ -77,7 +78,7 @@
 			s.err = fmt.Errorf("%w: %d events before the first token", errMalformed, maxHeld)
 			break
 		}
-		if !onlyUsage(data) {
+		if !s.only {
 			s.held = append(s.held, bytes.Clone(data))
 		}
 	}
@@ -98,7 +99,7 @@
 		data, _, err := s.next()
 		if err == nil {
 			s.timer.Reset(s.c.o.StreamIdle)
-			return Event{Data: data, Usage: onlyUsage(data)}, nil
+			return Event{Data: data, Usage: s.only}, nil
 		}
 		s.err = err
 	}
@@ -106,7 +107,7 @@
 }
 
 // Usage is what was said of the tokens, and whether it was.
-func (s *Stream) Usage() (Usage, bool) { return s.usage, s.usageRaw }
+func (s *Stream) Usage() (Usage, bool) { return s.usage, s.told }
 
 // Close ends the stream, closing its connection unless the answer was whole, and tells what it came to.
 func (s *Stream) Close() *Result {
@@ -208,36 +209,47 @@
 	if !gjson.ValidBytes(data) || data[0] != '{' {
 		return nil, false, fmt.Errorf("%w: an event of no JSON object: %.80q", errMalformed, data)
 	}
-	if e := gjson.GetBytes(data, "error"); e.Exists() && e.Type != gjson.Null {
-		return nil, false, fmt.Errorf("the engine's own error event: %.200s", e.Raw)
+	var fault, usage, choice gjson.Result
+	gjson.ParseBytes(data).ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "error":
+			fault = value
+		case "usage":
+			usage = value
+		case "choices":
+			choice = value.Get("0")
+		}
+		return true
+	})
+	if fault.Exists() && fault.Type != gjson.Null {
+		return nil, false, fmt.Errorf("the engine's own error event: %.200s", fault.Raw)
 	}
-	if u := gjson.GetBytes(data, "usage"); u.IsObject() {
-		s.usageRaw = true
-		s.usage = Usage{u.Get("prompt_tokens").Float(), u.Get("completion_tokens").Float(),
-			u.Get("prompt_tokens_details.cached_tokens").Float()}
+	if usage.IsObject() {
+		s.told = true
+		s.usage = Usage{usage.Get("prompt_tokens").Float(), usage.Get("completion_tokens").Float(),
+			usage.Get("prompt_tokens_details.cached_tokens").Float()}
 	}
-	choice := gjson.GetBytes(data, "choices.0")
-	if !choice.Exists() {
-		if s.usageRaw && onlyUsage(data) {
+	s.only = !choice.Exists()
+	if s.only {
+		if usage.IsObject() {
 			return data, false, nil
 		}
 		return nil, false, fmt.Errorf("%w: an event without choices: %.80q", errMalformed, data)
 	}
 	token := false
-	choice.Get("delta").ForEach(func(key, value gjson.Result) bool {
-		if key.Str != "role" && value.Type != gjson.Null && value.Raw != `""` && value.Raw != "[]" {
-			token = true
+	choice.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "delta":
+			value.ForEach(func(key, value gjson.Result) bool {
+				token = token || key.Str != "role" && value.Type != gjson.Null && value.Raw != `""` && value.Raw != "[]"
+				return !token
+			})
+		case "finish_reason":
+			s.finish = s.finish || value.Type == gjson.String
 		}
-		return !token
+		return true
 	})
-	if reason := choice.Get("finish_reason"); reason.Type == gjson.String {
-		s.finish, token = true, true
-	}
-	return data, token, nil
-}
-
-func onlyUsage(data []byte) bool {
-	return gjson.GetBytes(data, "choices.#").Int() == 0 && gjson.GetBytes(data, "usage").IsObject()
+	return data, token || s.finish, nil
 }
 
 // More tells whether a whole event more has come already.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -145,6 +146,8 @@
 		json.NewEncoder(w).Encode(map[string]any{"name": r.settings.GetName(), "address": r.Address(), //nolint:errcheck // the client left
 			"completions": completions, "dispatches": dispatches, "mailbox": f.Waiting, "decide_seconds": f.Busy.Seconds(), "faults": f.Faults})
 	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	r.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	go func() {
 		if err := r.admin.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -376,6 +376,7 @@
 	var call struct {
 		ID     string  `json:"id"`
 		Tokens float64 `json:"prompt_tokens"`
+		Lease  int     `json:"lease_ms"`
 	}
 	if err := json.NewDecoder(io.LimitReader(r.Body, 1<<16)).Decode(&call); err != nil {
 		fail(w, http.StatusBadRequest, "no place call: %v", err)
@@ -390,6 +391,7 @@
 		e.places[call.ID] = call.Tokens
 		e.mu.Unlock()
 		e.note(&pb.EngineEvent{Kind: pb.EngineEvent_PLACE_HELD.Enum(), Dispatch: proto.String(call.ID), Completion: proto.String(completionOf(call.ID))})
+		time.AfterFunc(time.Duration(call.Lease)*time.Millisecond, func() { e.drop(call.ID, pb.EngineEvent_STATE_RELEASED) })
 	}
 	json.NewEncoder(w).Encode(map[string]bool{"held": held}) //nolint:errcheck // the peer left
 }
