Each completion's end in the debug log, by the id that clients and engines see

Need: a completion is to be followed from edge to dispatch by one id. Change: a debug line at a completion's end beside those of its failed dispatches; a comment's name put right. Result: no behaviour changed; the edge's tests pass.

--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"math"
 	"strconv"
 	"strings"
@@ -21,7 +22,7 @@
 	"cherryhub/internal/link"
 )
 
-// TimeoutHeaders are where a client states its timeout, in seconds: ours, and that of OpenAI's own clients.
+// timeoutHeaders are where a client states its timeout, in seconds: ours, and that of OpenAI's own clients.
 var timeoutHeaders = [...]string{"Cherryhub-Timeout", "X-Stainless-Timeout"}
 
 // complete serves one chat call.
@@ -83,6 +84,9 @@
 	e.o.Observe.Took(work)
 	how := c.serve(ctx, rc, arrived, arrived.Add(timeout-margin/2), arrived.Add(whole-margin/2))
 	e.o.Observe.Answered(work, how, time.Since(arrived))
+	if e.o.Log.Enabled(ctx, slog.LevelDebug) {
+		e.o.Log.Debug("completion answered", "completion", c.name, "workload", w.Name, "answer", how.String(), "seconds", time.Since(arrived).Seconds())
+	}
 	c.mu.Lock()
 	c.handled = true
 	c.mu.Unlock()
