Duties split among instances: candidates in a fixed order, standing by, a budget of one's own

Need: routers that may talk should split probing and pick it up when one dies; two that both hold a duty must not push a subject over its greatest rate, in splits either. Change: internal/duty, a module without I/O: a roster with settling and leases, candidates by weighted rendezvous hashing (zone first), the first in sight does the duty, the next stand by a hand-over later each, each once an interval at most; epochs tell late owners; who stood still listens first.

--- /dev/null
+++ b/internal/duty/duty.go
@@ -0,0 +1,411 @@
+// Package duty splits periodic duties, such as probing an engine, among instances that can talk, and picks them
+// up again when one dies. It does no I/O: time, the members in sight and the others' results are passed in; what
+// is to be done now comes back. docs/duties.md has the design and what is promised when. internal/peer will feed
+// it (memberlist) and act for it; until then only its tests call it.
+//
+// Each duty has a fixed order of members, by weighted rendezvous hashing over the roster (the members on which
+// instances agree), those of its subject's zone first. Only the first few, its candidates, may ever do it. The
+// first of them that is in sight does it each interval; the next ones stand by, each a little later, and need no
+// one's word to step in: they act when no result has come. A candidate does a duty once an interval at most,
+// whatever it hears. So a subject meets no more than so many candidates an interval, in splits too.
+package duty
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	drift      = 0.02 // share by which two clocks may differ: an own interval is kept longer by it
+	pauseSlack = 2.0  // hand-over times; a longer gap between two ticks means that this instance stood still
+	lateMost   = 3.0  // intervals; a result older than this tells nothing and is not passed on
+)
+
+// Member is an instance. Its name and incarnation together are unique for one life.
+type Member struct {
+	Name        string
+	Incarnation uint64 // grows with each start
+	Zone        string
+	Weight      float64 // of its share of duties, above 0; 1 is usual
+}
+
+// Kind says what a duty is, such as "probe".
+type Kind string
+
+// Key names a duty.
+type Key struct {
+	Kind    Kind
+	Subject string
+}
+
+// Duty is one periodic duty. Times are seconds.
+type Duty struct {
+	Key
+	Zone       string  // of its subject
+	Interval   float64 // it is wanted so often
+	Candidates int     // that may do it: the greatest rate at its subject is so many an interval
+}
+
+// Epoch orders the owners of a duty. Two owners never have the same one.
+type Epoch struct {
+	N     uint64
+	Owner string
+}
+
+// Less tells whether e comes before f.
+func (e Epoch) Less(f Epoch) bool { return e.N < f.N || e.N == f.N && e.Owner < f.Owner }
+
+// Result is what an instance tells the others of a duty that it did.
+type Result struct {
+	Key
+	Epoch   Epoch
+	Origin  Member
+	Age     float64 // since it was done, when it is told
+	Payload []byte  // what came of it, for the kind to read
+}
+
+// Standing is what a Result that was heard is worth.
+type Standing uint8
+
+// The standings.
+const (
+	Fresh   Standing = iota // the newest of its duty
+	Late                    // of an owner whose epoch is over, or older than what is known
+	Unknown                 // of no duty here, or of no use any more
+)
+
+// Settings of a table. All are seconds but Moves.
+type Settings struct {
+	Self     Member
+	Settle   float64 // a member is on the roster once it was in sight for so long
+	Lease    float64 // a member out of sight stays on the roster for so long
+	HandOver float64 // a candidate waits so much longer than the one before it
+	Moves    int     // members that come onto the roster at once, at most; the rest a Settle later each time
+}
+
+// Cause says why an instance does a duty.
+type Cause uint8
+
+// The causes.
+const (
+	Own      Cause = iota // it is the first candidate in sight
+	StepIn                // no result came from the one before it
+	Inherits              // those before it are out of sight
+)
+
+func (c Cause) String() string {
+	return [...]string{"own", "no result came", "the owner is out of sight"}[c]
+}
+
+// Act is a duty that is to be done now. Its result goes to Done.
+type Act struct {
+	Duty
+	Epoch    Epoch
+	Cause    Cause
+	TakeOver bool // the last result was another's
+}
+
+// Table holds an instance's duties. Calls must not overlap, and time must not go back.
+type Table struct {
+	s       Settings
+	now     float64
+	born    float64 // time of New
+	ticked  float64 // time of the last tick
+	listens float64 // nothing is done until then: after the start, and after having stood still
+	sight   map[string]*seen
+	roster  []*seen // by name
+	duties  []*state
+	byKey   map[Key]*state
+}
+
+// seen is a member that is or was in sight.
+type seen struct {
+	Member
+	since  float64 // in sight without a break since
+	lost   float64 // out of sight since; +Inf while in sight
+	listed bool    // on the roster
+}
+
+// state is a duty and what is known of it.
+type state struct {
+	Duty
+	candidates []*seen
+	done       float64 // when it was done last, by anyone
+	epoch      Epoch
+	mine       float64 // when this instance began it last
+	out        bool    // this instance is at it
+}
+
+// New makes a table. The instance listens for two Settles and a HandOver before it does anything: by then it has
+// seen the others, they have seen it, and all have each other on their rosters. Settle must be longer than
+// membership takes to tell of one who joins.
+func New(now float64, s Settings) (*Table, error) {
+	if s.Self.Name == "" || !(s.Self.Weight > 0) {
+		return nil, fmt.Errorf("duty: self %q of weight %v: a name and a weight above 0 are wanted", s.Self.Name, s.Self.Weight)
+	}
+	if !(s.Settle >= 0) || !(s.HandOver > 0) || !(s.Lease > s.Settle) || s.Moves < 1 {
+		return nil, errors.New("duty: settle from 0, hand-over above 0, lease above settle and moves from 1 are wanted")
+	}
+	t := &Table{s: s, now: now, born: now, ticked: now, listens: now + 2*s.Settle + s.HandOver, sight: map[string]*seen{}, byKey: map[Key]*state{}}
+	t.sight[s.Self.Name] = &seen{Member: s.Self, since: now, lost: math.Inf(1)}
+	return t, nil
+}
+
+// SetDuties sets what is to be done. What is known of a duty that stays is kept; a new one is due at once.
+func (t *Table) SetDuties(now float64, all []Duty) {
+	t.now = now
+	byKey, kept := map[Key]*state{}, make([]*state, 0, len(all))
+	for _, d := range all {
+		if byKey[d.Key] != nil || d.Interval <= 0 {
+			continue
+		}
+		st := t.byKey[d.Key]
+		if st == nil {
+			st = &state{done: math.Inf(-1), mine: math.Inf(-1)}
+		}
+		st.Duty = d
+		st.Candidates = max(1, d.Candidates)
+		byKey[d.Key] = st
+		kept = append(kept, st)
+	}
+	t.byKey, t.duties = byKey, kept
+	t.rank()
+}
+
+// Sight sets the members in sight, as membership tells them; the instance itself need not be among them.
+func (t *Table) Sight(now float64, members []Member) {
+	t.now = now
+	there := map[string]bool{t.s.Self.Name: true}
+	for _, m := range members {
+		if m.Name == t.s.Self.Name {
+			continue
+		}
+		there[m.Name] = true
+		s := t.sight[m.Name]
+		if s == nil {
+			s = &seen{since: now, lost: math.Inf(1)}
+			t.sight[m.Name] = s
+		}
+		if !math.IsInf(s.lost, 1) || s.Incarnation != m.Incarnation {
+			s.since, s.lost = now, math.Inf(1)
+		}
+		s.Member = m
+	}
+	for name, s := range t.sight { // the order does not matter: each is its own
+		if !there[name] && math.IsInf(s.lost, 1) {
+			s.lost = now
+		}
+	}
+	t.list()
+}
+
+// Left takes a member off the roster at once: it has said that it goes.
+func (t *Table) Left(now float64, name string) {
+	t.now = now
+	if s := t.sight[name]; s != nil && name != t.s.Self.Name {
+		delete(t.sight, name)
+		t.list()
+	}
+}
+
+// list brings the roster up to date: who was in sight for a Settle comes on, a few at a time; who is out of
+// sight for a Lease goes off. Flapping moves nobody. A candidate that is gone longer than the Lease makes room
+// for the next in order: until then, at most, a duty all of whose candidates died is not done.
+func (t *Table) list() {
+	for name, s := range t.sight { // the order does not matter: each is its own
+		if t.now-s.lost >= t.s.Lease {
+			delete(t.sight, name)
+		}
+	}
+	var wait []*seen
+	for _, s := range t.sight { // sorted below
+		if !s.listed && t.now-s.since >= t.s.Settle && math.IsInf(s.lost, 1) {
+			wait = append(wait, s)
+		}
+	}
+	slices.SortFunc(wait, func(a, b *seen) int { return cmp.Or(cmp.Compare(a.since, b.since), cmp.Compare(a.Name, b.Name)) })
+	for i, s := range wait {
+		if i >= t.s.Moves && len(t.roster) > 1 {
+			s.since = t.now // its turn comes with the next
+			continue
+		}
+		s.listed = true
+	}
+	var roster []*seen
+	for _, s := range t.sight { // sorted below
+		if s.listed {
+			roster = append(roster, s)
+		}
+	}
+	slices.SortFunc(roster, func(a, b *seen) int { return cmp.Compare(a.Name, b.Name) })
+	if !slices.Equal(roster, t.roster) {
+		t.roster = roster
+		t.rank()
+	}
+}
+
+// rank finds every duty's candidates.
+func (t *Table) rank() {
+	type lot struct {
+		of   *seen
+		far  bool
+		draw float64
+	}
+	lots := make([]lot, 0, len(t.roster))
+	for _, d := range t.duties {
+		lots = lots[:0]
+		key := xxhash.Sum64String(string(d.Kind) + "\x00" + d.Subject)
+		for _, s := range t.roster {
+			h := (key ^ xxhash.Sum64String(s.Name)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+			h ^= h >> 31
+			u := (float64(h*0x94d049bb133111eb>>11) + 0.5) / (1 << 53)
+			lots = append(lots, lot{s, s.Zone != d.Zone, -math.Log(u) / s.Weight})
+		}
+		slices.SortFunc(lots, func(a, b lot) int {
+			if a.far != b.far {
+				if b.far {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Or(cmp.Compare(a.draw, b.draw), cmp.Compare(a.of.Name, b.of.Name))
+		})
+		d.candidates = d.candidates[:0]
+		for _, l := range lots[:min(len(lots), d.Candidates)] {
+			d.candidates = append(d.candidates, l.of)
+		}
+	}
+}
+
+// turn is when this instance is to do a duty, and why; never if it is no candidate. It waits a hand-over for
+// each candidate in sight before it.
+func (t *Table) turn(d *state) (at float64, why Cause) {
+	before := 0
+	for i, c := range d.candidates {
+		if c.Name != t.s.Self.Name {
+			if math.IsInf(c.lost, 1) {
+				before++
+			}
+			continue
+		}
+		switch {
+		case before > 0:
+			why = StepIn
+		case i > 0:
+			why = Inherits
+		}
+		// Where nobody is known to have done it, an earlier life of this instance may have, an interval ago.
+		at = math.Max(d.done+d.Interval, math.Max(t.listens, t.born+d.Interval))
+		if d.done > t.born {
+			at = d.done + d.Interval
+		}
+		at += float64(before) * t.s.HandOver
+		return math.Max(at, d.mine+d.Interval*(1+drift)), why
+	}
+	return math.Inf(1), Own
+}
+
+// Tick tells what is to be done now, and when to tick again at the latest. After a gap between ticks the
+// instance has stood still: others may have stepped in, so it listens first and does nothing.
+func (t *Table) Tick(now float64) (acts []Act, next float64) {
+	t.now = now
+	if now-t.ticked > pauseSlack*t.s.HandOver {
+		t.listens = math.Max(t.listens, now+t.s.HandOver)
+	}
+	t.ticked = now
+	t.list()
+	next = now + t.s.HandOver
+	if now < t.listens {
+		return nil, math.Min(next, t.listens)
+	}
+	for _, d := range t.duties {
+		if d.out {
+			continue
+		}
+		at, why := t.turn(d)
+		if at > now {
+			next = math.Min(next, at)
+			continue
+		}
+		over := d.epoch.Owner != t.s.Self.Name
+		epoch := d.epoch
+		if over {
+			epoch = Epoch{d.epoch.N + 1, t.s.Self.Name}
+		}
+		d.out, d.mine = true, now
+		acts = append(acts, Act{d.Duty, epoch, why, over && d.epoch.N > 0})
+	}
+	return acts, next
+}
+
+// Done takes the end of an Act and gives the result to tell the others. ok is false where it is to be told to
+// nobody: the duty is gone, or the instance stood still meanwhile and another has it now.
+func (t *Table) Done(now float64, a Act, payload []byte) (r Result, ok bool) {
+	t.now = now
+	d := t.byKey[a.Key]
+	if d == nil || !d.out {
+		return Result{}, false
+	}
+	d.out = false
+	if a.Epoch.Less(d.epoch) {
+		return Result{}, false
+	}
+	d.epoch = a.Epoch
+	d.done = math.Max(d.done, d.mine)
+	return Result{Key: a.Key, Epoch: a.Epoch, Origin: t.s.Self, Age: now - d.mine, Payload: payload}, true
+}
+
+// Heard takes another's result and says what it is worth. One that is late still counts as done when it was
+// done: the subject met it.
+func (t *Table) Heard(now float64, r Result) Standing {
+	t.now = now
+	d := t.byKey[r.Key]
+	if d == nil || !(r.Age >= 0) || r.Age > lateMost*d.Interval || r.Origin.Name == t.s.Self.Name {
+		return Unknown
+	}
+	done := now - r.Age
+	newer := done > d.done
+	d.done = math.Max(d.done, done)
+	if r.Epoch.Less(d.epoch) || !newer {
+		return Late
+	}
+	d.epoch = r.Epoch
+	return Fresh
+}
+
+// Status is what an instance knows of a duty.
+type Status struct {
+	Duty
+	Owner      string  // of the last result, empty for none
+	Epoch      uint64  //
+	Since      float64 // seconds since it was done last, +Inf for never
+	Late       float64 // seconds past its interval, 0 if it is in time
+	Candidates []string
+}
+
+// Status lists all duties in the order in which they were set.
+func (t *Table) Status(now float64) []Status {
+	all := make([]Status, 0, len(t.duties))
+	for _, d := range t.duties {
+		s := Status{Duty: d.Duty, Owner: d.epoch.Owner, Epoch: d.epoch.N, Since: now - d.done,
+			Late: math.Max(0, now-d.done-d.Interval)}
+		for _, c := range d.candidates {
+			s.Candidates = append(s.Candidates, c.Name)
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+// Roster is the names of those on it.
+func (t *Table) Roster() (names []string) {
+	for _, s := range t.roster {
+		names = append(names, s.Name)
+	}
+	return names
+}
