--- /dev/null
+++ b/cmd/cherryhub/admin.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cherryhub/internal/router"
+)
+
+// adminMost bounds an answer of an admin address, in bytes.
+const adminMost = 64 << 20
+
+// ask reads JSON from a running router's admin address.
+func ask(address, path string, into any) error {
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + address + path)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask %s%s: status %d", address, path, resp.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, adminMost)).Decode(into); err != nil {
+		return fmt.Errorf("ask %s%s: %w", address, path, err)
+	}
+	return nil
+}
+
+// adminCommand is a command that shows what an admin address tells, as a table or as JSON.
+func adminCommand[T any](use, short, path string, table func(w io.Writer, all []T)) *cobra.Command {
+	var address string
+	var asJSON bool
+	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		var all []T
+		if err := ask(address, path, &all); err != nil {
+			return err
+		}
+		if asJSON {
+			e := json.NewEncoder(os.Stdout)
+			e.SetIndent("", "  ")
+			return e.Encode(all)
+		}
+		w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+		table(w, all)
+		return w.Flush()
+	}}
+	c.Flags().StringVar(&address, "admin", "127.0.0.1:8081", "the router's admin address")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+func yes(so bool) string {
+	if so {
+		return "yes"
+	}
+	return "-"
+}
+
+func peersCommand() *cobra.Command {
+	return adminCommand("peers", "Show the routers that a running router knows", "/peers", func(w io.Writer, all []router.PeerStatus) {
+		fmt.Fprintln(w, "name\tzone\tweight\tself\tin sight\ton the roster")
+		for _, p := range all {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%s\t%s\t%s\n", p.Name, p.Zone, p.Weight, yes(p.Self), yes(p.InSight), yes(p.OnRoster))
+		}
+	})
+}
+
+func dutiesCommand() *cobra.Command {
+	return adminCommand("duties", "Show who does which periodic duty, and which are late", "/duties", func(w io.Writer, all []router.DutyStatus) {
+		fmt.Fprintln(w, "duty\tsubject\towner\tepoch\tdone\tlate\tcandidates")
+		for _, d := range all {
+			done, late := "never", "-"
+			if d.Since >= 0 {
+				done = fmt.Sprintf("%.2f s ago", d.Since)
+			}
+			if d.Late > 0 {
+				late = fmt.Sprintf("%.2f s", d.Late)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", d.Kind, d.Subject, d.Owner, d.Epoch, done, late, strings.Join(d.Candidates, " "))
+		}
+	})
+}
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -7,8 +7,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"cherryhub/decide"
+	"cherryhub/internal/duty"
 	"cherryhub/internal/edge"
 	"cherryhub/internal/engine"
+	"cherryhub/internal/member"
+	"cherryhub/internal/peer"
 	"cherryhub/internal/planner"
 	pb "cherryhub/proto"
 )
@@ -147,3 +150,16 @@
 	}
 	return o
 }
+
+// Peer are the options of a router among others, nil where it is alone. What it does and tells are the caller's
+// to add.
+func Peer(r *pb.Router) *peer.Options {
+	p := r.GetPeers()
+	if p == nil {
+		return nil
+	}
+	self := duty.Member{Name: r.GetName(), Incarnation: uint64(time.Now().UnixMilli()), Zone: r.GetZone(), Weight: p.GetWeight()}
+	return &peer.Options{Duty: duty.Settings{Self: self, Settle: p.GetSettleS(), Lease: p.GetLeaseS(), HandOver: p.GetHandOverS(), Moves: int(p.GetMoves())},
+		Interval: p.GetProbeIntervalS(), Candidates: int(p.GetCandidates()), OwnRate: p.GetOwnProbesPerS(), Columns: figures(r.GetReports()).Columns(),
+		Member: member.Options{Self: self, Listen: p.GetListen(), Seeds: p.GetSeeds(), KeyHex: p.GetKeyHex()}}
+}
--- a/internal/config/refer.go
+++ b/internal/config/refer.go
@@ -62,11 +62,32 @@
 			c.add(at+"reports."+name, "names neither orca nor prometheus")
 		}
 	}
+	c.peers(r, at)
 	if margin := r.GetTiming().GetAnswerMarginMs(); margin < 4*r.GetTiming().GetTickMs() {
 		c.add(at+"timing.answer_margin_ms", "%v is under four ticks (timing.tick_ms %v): answers could come late", margin, r.GetTiming().GetTickMs())
 	}
 }
 
+func (c *checker) peers(r *pb.Router, at string) {
+	p := r.GetPeers()
+	if p == nil {
+		return
+	}
+	c.address(at+"peers.listen", p.GetListen())
+	for i, s := range p.GetSeeds() {
+		c.address(fmt.Sprintf("%speers.seeds[%d]", at, i), s)
+	}
+	if b, err := hex.DecodeString(p.GetKeyHex()); err != nil || len(b) != 16 && len(b) != 24 && len(b) != 32 {
+		c.add(at+"peers.key_hex", "must be 16, 24 or 32 bytes as hex")
+	}
+	if p.GetLeaseS() <= p.GetSettleS() {
+		c.add(at+"peers.lease_s", "%v is not above settle_s, %v", p.GetLeaseS(), p.GetSettleS())
+	}
+	if !r.GetAllowed().GetProbes() {
+		c.add(at+"peers", "has no duty where allowed.probes is false")
+	}
+}
+
 func (c *checker) tenants(r *pb.Router, at string) {
 	names, keys, anonymous := map[string]bool{}, map[string]bool{}, false
 	for i, t := range r.GetTenants() {
@@ -175,7 +196,7 @@
 		wants("zone", t.GetZone(), zones, "zones")
 	case pb.Kind_WORKLOAD_FAILS:
 		wants("workload", t.GetWorkload(), workloads, "workloads")
-	case pb.Kind_ROUTER_KILLED:
+	case pb.Kind_ROUTER_KILLED, pb.Kind_ROUTER_PAUSED:
 		wants("router", t.GetRouter(), routers, "routers")
 	}
 	if share(t.GetKind()) && t.GetSize() > 1 {
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -98,6 +98,16 @@
 
 // startRouters starts all routers, each dialling from an address of its own.
 func (p *player) startRouters() error {
+	var peers []string
+	if p.day.GetRouter().GetPeers() != nil {
+		for range p.day.GetRouters() {
+			address, err := loopback.Address("127.0.0.1")
+			if err != nil {
+				return err
+			}
+			peers = append(peers, address)
+		}
+	}
 	for i, place := range p.day.GetRouters() {
 		address, err := loopback.Address("127.0.0.1")
 		if err != nil {
@@ -109,6 +119,9 @@
 		r.Routers, r.SourceAddress = proto.Int32(int32(len(p.day.GetRouters()))), proto.String(source)
 		r.Seed = proto.Uint64(p.day.GetSeed()*1000 + uint64(i) + 1)
 		r.List = &pb.EngineList{Url: proto.String(p.fleet.List.URL())}
+		if peers != nil {
+			r.Peers.Listen, r.Peers.Seeds = proto.String(peers[i]), append(append([]string(nil), peers[:i]...), peers[i+1:]...)
+		}
 		one := &process{name: place.GetName(), zone: place.GetZone(), address: address, source: source,
 			settings: filepath.Join(p.o.Dir, place.GetName()+".textproto")}
 		if err := os.WriteFile(one.settings, []byte(config.Text(r)), 0o600); err != nil {
@@ -297,6 +310,8 @@
 		during(func() { p.fleet.List.Gone(true) }, func() { p.fleet.List.Gone(false) })
 	case pb.Kind_ROUTER_KILLED:
 		err = p.killRouter(ctx, t)
+	case pb.Kind_ROUTER_PAUSED:
+		err = p.pauseRouter(ctx, t)
 	default: // the clients' own troubles: load looks at the script
 	}
 	return err
@@ -329,3 +344,30 @@
 	}
 	return fmt.Errorf("no router %q", t.GetRouter())
 }
+
+// pauseRouter stops a router's process and lets it go on. While it stands still it counts as down.
+func (p *player) pauseRouter(ctx context.Context, t *pb.Trouble) error {
+	for _, r := range p.routers {
+		if r.name != t.GetRouter() {
+			continue
+		}
+		note := func(up bool) {
+			p.rec.Write(&pb.Entry{What: &pb.Entry_Router{Router: &pb.RouterEvent{Router: proto.String(r.name), Address: proto.String(r.source), Up: proto.Bool(up)}}})
+		}
+		r.mu.Lock()
+		process := r.cmd.Process
+		r.mu.Unlock()
+		note(false)
+		if err := process.Signal(syscall.SIGSTOP); err != nil {
+			return fmt.Errorf("stop %s: %w", r.name, err)
+		}
+		sleep(ctx, config.Seconds(t.GetLengthS()))
+		err := process.Signal(syscall.SIGCONT)
+		note(true)
+		if err != nil {
+			return fmt.Errorf("continue %s: %w", r.name, err)
+		}
+		return nil
+	}
+	return fmt.Errorf("no router %q", t.GetRouter())
+}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// play plays a day that ships and returns the rules' report.
-func play(t *testing.T, name string) *rules.Report {
+// play plays a day that ships and returns its record and the rules' report.
+func play(t *testing.T, name string) ([]*pb.Entry, *rules.Report) {
 	text, err := fs.ReadFile(deploy.Files, name)
 	require.NoError(t, err)
 	d := &pb.Day{}
@@ -56,7 +56,7 @@
 	require.NoError(t, err)
 	report, err := rules.Check(entries)
 	require.NoError(t, err)
-	return report
+	return entries, report
 }
 
 // TestDays: the days that ship keep every rule, and each rule was put to the test.
@@ -64,7 +64,7 @@
 	for _, name := range []string{"days/sunday.textproto", "days/every.textproto"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			report := play(t, name)
+			_, report := play(t, name)
 			for _, rule := range rules.Rules() {
 				assert.True(t, report.Kept(rule), "%v", rule)
 				assert.Greater(t, report.Checked[rule], 10, "%v was checked", rule)
@@ -78,3 +78,21 @@
 		})
 	}
 }
+
+// TestPeers: five routers split the probing of a dozen engines while one is killed and one stands still. No
+// engine waits long for a probe, and none gets more than its greatest rate: the engines' own records say so.
+func TestPeers(t *testing.T) {
+	t.Parallel()
+	entries, report := play(t, "days/peers.textproto")
+	for _, rule := range rules.Rules() {
+		assert.True(t, report.Kept(rule), "%v", rule)
+	}
+	const interval, candidates, handOver = 0.5, 2, 0.15
+	probes := rules.CountProbes(entries, 5, 17, interval)
+	require.Len(t, probes, 12)
+	for _, p := range probes {
+		assert.LessOrEqual(t, p.Longest, interval*1.05+candidates*handOver+0.35, "%+v", p)
+		assert.LessOrEqual(t, p.Most, candidates, "%+v", p)
+		assert.Greater(t, p.Count, 18, "%+v", p)
+	}
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,7 +1,7 @@
 // Package duty splits periodic duties, such as probing an engine, among instances that can talk, and picks them
 // up again when one dies. It does no I/O: time, the members in sight and the others' results are passed in; what
-// is to be done now comes back. docs/duties.md has the design and what is promised when. internal/peer will feed
-// it (memberlist) and act for it; until then only its tests call it.
+// is to be done now comes back. docs/duties.md has the design and what is promised when. internal/peer feeds
+// it and acts for it.
 //
 // Each duty has a fixed order of members, by weighted rendezvous hashing over the roster (the members on which
 // instances agree), those of its subject's zone first. Only the first few, its candidates, may ever do it. The
@@ -79,6 +79,8 @@
 	Unknown                 // of no duty here, or of no use any more
 )
 
+func (s Standing) String() string { return [...]string{"fresh", "late", "unknown"}[s] }
+
 // Settings of a table. All are seconds but Moves.
 type Settings struct {
 	Self     Member
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -95,7 +95,7 @@
 	e.runs.Add(1)
 	go func() {
 		defer e.runs.Add(-1)
-		report, err := e.o.Engines.Probe(e.base, at.Address)
+		report, err := e.o.Probe(e.base, at.Address)
 		if err != nil {
 			e.o.Log.Debug("probe failed", "engine", at.Address, "err", err)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -70,6 +70,7 @@
 	Idle        time.Duration // a client's connection between two completions
 	ComeBack    time.Duration // the advice to one who was not taken, 0 for none
 	Engines     *engine.Client
+	Probe       func(ctx context.Context, address string) ([]float64, error) // nil: Engines does it
 	Log         *slog.Logger
 	Observe     Observer
 }
@@ -128,6 +129,9 @@
 
 // New makes an edge. Its planner must be set with Plan before Serve.
 func New(o Options) *Edge {
+	if o.Probe == nil {
+		o.Probe = o.Engines.Probe
+	}
 	e := &Edge{o: o, models: map[string]int{}, tenants: map[[32]byte]int{}, nobody: -1}
 	e.base, e.end = context.WithCancelCause(context.Background())
 	var nonce [4]byte
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -268,6 +268,9 @@
 	return nil
 }
 
+// ErrNotAsked is a probe that was not made: nothing was learnt of the engine.
+var ErrNotAsked = errors.New("not asked")
+
 // ProbeOutcome is the outcome of a probe that ended with err.
 func ProbeOutcome(err error) decide.Outcome {
 	switch {
@@ -275,7 +278,7 @@
 		return decide.Finished
 	case errors.Is(err, context.DeadlineExceeded):
 		return decide.TimedOut
-	case isLocal(err):
+	case isLocal(err), errors.Is(err, ErrNotAsked):
 		return decide.Finished // nothing was learnt, and the engine is not to blame
 	}
 	return decide.Unreachable
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -31,8 +31,9 @@
 	Outcome    decide.Outcome
 	Done       bool // the completion has its answer
 	Held       bool
-	Dispatch   int // number of the completion's dispatch, from 0
-	Engine     int // index, as orders gave it
+	Dispatch   int    // number of the completion's dispatch, from 0
+	Engine     int    // index, as orders gave it
+	Address    string // of the engine instead, where no order gave the index
 	Completion uint64
 	Took       float64   // seconds since the dispatch was sent
 	Found      float64   // prompt tokens found kept
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,192 @@
+// Package member finds the other routers and tells who is in sight, on hashicorp/memberlist (SWIM with
+// suspicion), and carries messages between them. It decides nothing: what follows from a view is internal/duty's.
+// internal/peer calls it.
+package member
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/internal/duty"
+	pb "cherryhub/proto"
+)
+
+// Options of a group. Sight, Left and Heard are called from memberlist's goroutines and must not block.
+type Options struct {
+	Self   duty.Member
+	Listen string   // IP:port, TCP and UDP
+	Seeds  []string // addresses of some others
+	KeyHex string   // 16, 24 or 32 bytes
+	Sight  func(members []duty.Member)
+	Left   func(name string) // it said that it goes
+	Heard  func(message []byte)
+	Log    *slog.Logger
+}
+
+// Group is this router's part of a group.
+type Group struct {
+	o    Options
+	list *memberlist.Memberlist
+	mu   sync.Mutex
+	in   map[string]duty.Member
+	meta []byte
+}
+
+// packetMost bounds a message, in bytes: one UDP packet with room for the key's and memberlist's own.
+const packetMost = 1200
+
+// rejoin is how often an instance that sees nobody asks its seeds again.
+const rejoin = 2 * time.Second
+
+// Start joins the group. That no seed answers is no error: they may come later.
+func Start(ctx context.Context, o Options) (*Group, error) {
+	key, err := hex.DecodeString(o.KeyHex)
+	if err != nil || len(key) != 16 && len(key) != 24 && len(key) != 32 {
+		return nil, errors.New("peers: the key must be 16, 24 or 32 bytes as hex")
+	}
+	host, portText, err := net.SplitHostPort(o.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	port, err := strconv.Atoi(portText)
+	if err != nil {
+		return nil, fmt.Errorf("peers: listen: %w", err)
+	}
+	g := &Group{o: o, in: map[string]duty.Member{}}
+	if g.meta, err = proto.Marshal(&pb.PeerMeta{Incarnation: proto.Uint64(o.Self.Incarnation), Zone: proto.String(o.Self.Zone),
+		Weight: proto.Float64(o.Self.Weight)}); err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.BindAddr, c.BindPort, c.AdvertiseAddr, c.AdvertisePort = o.Self.Name, host, port, host, port
+	c.SecretKey, c.Delegate, c.Events = key, g, g
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = 300*time.Millisecond, 150*time.Millisecond, 3
+	c.GossipInterval, c.TCPTimeout, c.PushPullInterval = 50*time.Millisecond, time.Second, 10*time.Second
+	c.DeadNodeReclaimTime = time.Second // a router that is back has its old address
+	c.GossipToTheDeadTime = 5 * time.Second
+	c.LogOutput = logWriter{o.Log}
+	if g.list, err = memberlist.Create(c); err != nil {
+		return nil, fmt.Errorf("peers at %s: %w", o.Listen, err)
+	}
+	go g.join(ctx)
+	return g, nil
+}
+
+// join asks the seeds until somebody is in sight, and again whenever nobody is.
+func (g *Group) join(ctx context.Context) {
+	for {
+		if g.list.NumMembers() < 2 && len(g.o.Seeds) > 0 {
+			if _, err := g.list.Join(g.o.Seeds); err != nil {
+				g.o.Log.Debug("peers: no seed answers", "err", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rejoin):
+		}
+	}
+}
+
+// Tell sends a message to all in sight, as well as UDP can.
+func (g *Group) Tell(message []byte) error {
+	if len(message) > packetMost {
+		return fmt.Errorf("peers: a message of %d bytes, %d are the most", len(message), packetMost)
+	}
+	var all error
+	for _, n := range g.list.Members() {
+		if n.Name == g.o.Self.Name {
+			continue
+		}
+		if err := g.list.SendBestEffort(n, message); err != nil {
+			all = errors.Join(all, fmt.Errorf("peers: tell %s: %w", n.Name, err))
+		}
+	}
+	return all
+}
+
+// Stop says that this router goes, and ends its part.
+func (g *Group) Stop() error {
+	return errors.Join(g.list.Leave(500*time.Millisecond), g.list.Shutdown())
+}
+
+func (g *Group) view() {
+	all := make([]duty.Member, 0, len(g.in))
+	for _, m := range g.in { // sorted below
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b duty.Member) int { return strings.Compare(a.Name, b.Name) })
+	g.o.Sight(all)
+}
+
+func (g *Group) see(n *memberlist.Node) {
+	if n.Name == g.o.Self.Name {
+		return
+	}
+	meta := &pb.PeerMeta{}
+	if err := proto.Unmarshal(n.Meta, meta); err != nil || !(meta.GetWeight() > 0) {
+		g.o.Log.Warn("peers: a member whose word is not understood is left out", "member", n.Name, "err", err)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.in[n.Name] = duty.Member{Name: n.Name, Incarnation: meta.GetIncarnation(), Zone: meta.GetZone(), Weight: meta.GetWeight()}
+	g.view()
+}
+
+// NotifyJoin is of memberlist.EventDelegate, as are the two below.
+func (g *Group) NotifyJoin(n *memberlist.Node) {
+	g.see(n)
+	if n.Name != g.o.Self.Name {
+		g.o.Log.Info("peer in sight", "member", n.Name, "address", n.Address())
+	}
+}
+
+func (g *Group) NotifyUpdate(n *memberlist.Node) { g.see(n) }
+
+func (g *Group) NotifyLeave(n *memberlist.Node) {
+	if n.Name == g.o.Self.Name {
+		return
+	}
+	g.mu.Lock()
+	delete(g.in, n.Name)
+	g.view()
+	g.mu.Unlock()
+	left := n.State == memberlist.StateLeft
+	g.o.Log.Info("peer out of sight", "member", n.Name, "said so", left)
+	if left {
+		g.o.Left(n.Name)
+	}
+}
+
+// NodeMeta is of memberlist.Delegate, as are those below.
+func (g *Group) NodeMeta(limit int) []byte { return g.meta[:min(limit, len(g.meta))] }
+
+func (g *Group) NotifyMsg(b []byte) { g.o.Heard(bytes.Clone(b)) }
+
+func (g *Group) GetBroadcasts(int, int) [][]byte { return nil }
+
+func (g *Group) LocalState(bool) []byte { return nil }
+
+func (g *Group) MergeRemoteState([]byte, bool) {}
+
+// logWriter hands memberlist's own lines on.
+type logWriter struct{ log *slog.Logger }
+
+func (w logWriter) Write(p []byte) (int, error) {
+	w.log.Debug(strings.TrimSpace(string(p)), "part", "memberlist")
+	return len(p), nil
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -163,8 +163,15 @@
 		p.take(f)
 		return
 	case link.Probed:
-		if f.Engine < len(p.engines.known) {
-			p.router.Probed(f.Engine, f.Outcome, f.Report)
+		at := f.Engine
+		if f.Address != "" {
+			known := false
+			if at, known = p.engines.byName[f.Address]; !known {
+				return
+			}
+		}
+		if at < len(p.engines.known) {
+			p.router.Probed(at, f.Outcome, f.Report)
 		}
 		return
 	case link.Listed:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -18,9 +19,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"cherryhub/internal/config"
+	"cherryhub/internal/duty"
 	"cherryhub/internal/edge"
 	"cherryhub/internal/engine"
 	"cherryhub/internal/fleet"
+	"cherryhub/internal/link"
+	"cherryhub/internal/peer"
 	"cherryhub/internal/planner"
 	"cherryhub/internal/telemetry"
 	pb "cherryhub/proto"
@@ -40,6 +44,7 @@
 	end      context.CancelFunc
 	parts    sync.WaitGroup
 	fault    chan error
+	peer     *peer.Peer // nil where this router talks to none
 }
 
 // Start starts a router; its settings must have been checked. It serves until Stop.
@@ -60,6 +65,16 @@
 	metrics := telemetry.NewMetrics(names)
 	eo := config.Edge(r)
 	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
+	var tell func(link.Fact)
+	var among *peer.Peer
+	if o := config.Peer(r); o != nil {
+		o.Probe, o.Log, o.Observe = client.Probe, log, metrics
+		o.Tell = func(f link.Fact) { tell(f) }
+		if among, err = peer.New(*o); err != nil {
+			return nil, errors.Join(fmt.Errorf("router %s: %w", r.GetName(), err), ln.Close())
+		}
+		eo.Probe = among.Probe
+	}
 	e := edge.New(eo)
 	po := config.Planner(r)
 	po.Log, po.Delay = log, metrics.Delay
@@ -69,8 +84,9 @@
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 	}
 	e.Plan(p)
+	tell = p.Tell
 	metrics.Watch(p, e)
-	one := &Router{Edge: e, Planner: p, Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 2)}
+	one := &Router{Edge: e, Planner: p, Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), peer: among}
 	if err := one.serveAdmin(); err != nil {
 		ln.Close() //nolint:errcheck // it was never used
 		return nil, err
@@ -79,9 +95,16 @@
 	one.end = end
 	l := r.GetList()
 	follower := fleet.New(fleet.Options{URL: l.GetUrl(), File: l.GetFile(), Poll: config.Seconds(l.GetPollS()),
-		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: p.Tell, Log: log})
+		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: one.listed, Log: log})
 	one.parts.Go(func() { p.Run(ctx) })
 	one.parts.Go(func() { follower.Run(ctx) })
+	if among != nil {
+		one.parts.Go(func() {
+			if err := among.Run(ctx); err != nil {
+				one.fault <- err
+			}
+		})
+	}
 	go func() {
 		if err := e.Serve(); err != nil && ctx.Err() == nil {
 			one.fault <- err
@@ -91,6 +114,14 @@
 	return one, nil
 }
 
+// listed hands news of the engines on.
+func (r *Router) listed(f link.Fact) {
+	r.Planner.Tell(f)
+	if r.peer != nil {
+		r.peer.List(f.List)
+	}
+}
+
 // Serve runs a router from a file of settings until the context ends, or a part of it does by itself.
 func Serve(ctx context.Context, file string, logs io.Writer) error {
 	r := &pb.Router{}
@@ -142,10 +173,11 @@
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		completions, dispatches := r.Edge.Active()
 		f := r.Planner.Figures()
-		w.Header().Set("Content-Type", "application/json")
-		json.NewEncoder(w).Encode(map[string]any{"name": r.settings.GetName(), "address": r.Address(), //nolint:errcheck // the client left
+		r.tell(w, map[string]any{"name": r.settings.GetName(), "address": r.Address(),
 			"completions": completions, "dispatches": dispatches, "mailbox": f.Waiting, "decide_seconds": f.Busy.Seconds(), "faults": f.Faults})
 	})
+	mux.HandleFunc("GET /peers", func(w http.ResponseWriter, _ *http.Request) { r.tell(w, r.peers()) })
+	mux.HandleFunc("GET /duties", func(w http.ResponseWriter, _ *http.Request) { r.tell(w, r.duties()) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	r.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -156,3 +188,67 @@
 	}()
 	return nil
 }
+
+func (r *Router) tell(w http.ResponseWriter, what any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(what) //nolint:errcheck // the client left
+}
+
+// PeerStatus is what /peers tells of a router.
+type PeerStatus struct {
+	Name        string  `json:"name"`
+	Zone        string  `json:"zone"`
+	Incarnation uint64  `json:"incarnation"`
+	Weight      float64 `json:"weight"`
+	Self        bool    `json:"self"`
+	InSight     bool    `json:"in_sight"`
+	OnRoster    bool    `json:"on_roster"`
+}
+
+// DutyStatus is what /duties tells of a duty. Seconds are -1 where it was never done.
+type DutyStatus struct {
+	Kind       string   `json:"kind"`
+	Subject    string   `json:"subject"`
+	Owner      string   `json:"owner"`
+	Epoch      uint64   `json:"epoch"`
+	Since      float64  `json:"done_s_ago"`
+	Late       float64  `json:"late_s"`
+	Candidates []string `json:"candidates"`
+}
+
+func (r *Router) peers() []PeerStatus {
+	all := []PeerStatus{}
+	if r.peer == nil {
+		return all
+	}
+	self, sight, roster := r.peer.Members()
+	listed := map[string]bool{}
+	for _, name := range roster {
+		listed[name] = true
+	}
+	for i, m := range append([]duty.Member{self}, sight...) {
+		all = append(all, PeerStatus{m.Name, m.Zone, m.Incarnation, m.Weight, i == 0, true, listed[m.Name]})
+		delete(listed, m.Name)
+	}
+	for _, name := range roster {
+		if listed[name] {
+			all = append(all, PeerStatus{Name: name, OnRoster: true})
+		}
+	}
+	return all
+}
+
+func (r *Router) duties() []DutyStatus {
+	all := []DutyStatus{}
+	if r.peer == nil {
+		return all
+	}
+	for _, d := range r.peer.Duties() {
+		s := DutyStatus{string(d.Kind), d.Subject, d.Owner, d.Epoch, -1, -1, d.Candidates}
+		if !math.IsInf(d.Since, 1) {
+			s.Since, s.Late = d.Since, d.Late
+		}
+		all = append(all, s)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rules/probes.go
@@ -0,0 +1,76 @@
+package rules
+
+import (
+	"sort"
+
+	pb "cherryhub/proto"
+)
+
+// Probes is what an engine met of probes, from its own record.
+type Probes struct {
+	Engine  string  `json:"engine"`
+	Count   int     `json:"count"`
+	Longest float64 `json:"longest_gap_s"` // between two, while it was up and heard
+	Most    int     `json:"most_in_window"`
+	Peers   int     `json:"routers"` // that probed it
+}
+
+// CountProbes counts probes from a time to another, with the most in any window. An engine's times of being
+// down or deaf begin a gap anew.
+func CountProbes(entries []*pb.Entry, from, to, window float64) []Probes {
+	type met struct {
+		at    []float64
+		gap   float64
+		last  float64
+		peers map[string]bool
+		off   bool
+	}
+	all, names := map[string]*met{}, []string(nil)
+	of := func(name string) *met {
+		if all[name] == nil {
+			all[name] = &met{last: from, peers: map[string]bool{}}
+			names = append(names, name)
+		}
+		return all[name]
+	}
+	for _, e := range entries {
+		ev, at := e.GetEngine(), e.GetAtS()
+		if ev == nil || at > to {
+			continue
+		}
+		m := of(ev.GetEngine())
+		switch ev.GetKind() {
+		case pb.EngineEvent_DOWN, pb.EngineEvent_DEAF:
+			if !m.off && at >= from {
+				m.gap = max(m.gap, at-m.last)
+			}
+			m.off = true
+		case pb.EngineEvent_UP, pb.EngineEvent_HEARS:
+			m.off, m.last = false, max(from, at)
+		case pb.EngineEvent_PROBED:
+			if at < from {
+				continue
+			}
+			m.at = append(m.at, at)
+			m.peers[ev.GetPeer()] = true
+			m.gap, m.last = max(m.gap, at-m.last), at
+		}
+	}
+	sort.Strings(names)
+	out := make([]Probes, 0, len(names))
+	for _, name := range names {
+		m := all[name]
+		if !m.off {
+			m.gap = max(m.gap, to-m.last)
+		}
+		p := Probes{Engine: name, Count: len(m.at), Longest: m.gap, Peers: len(m.peers)}
+		for i, first := 0, 0; i < len(m.at); i++ {
+			for m.at[i]-m.at[first] >= window {
+				first++
+			}
+			p.Most = max(p.Most, i-first+1)
+		}
+		out = append(out, p)
+	}
+	return out
+}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -181,3 +181,17 @@
 		require.Equal(t, float64(best), gap, spans)
 	}
 }
+
+func TestCountProbes(t *testing.T) {
+	probe := func(at float64, peer string) *pb.Entry {
+		return engine(at, pb.EngineEvent_PROBED, "", func(e *pb.EngineEvent) { e.Peer = proto.String(peer) })
+	}
+	entries := record(engine(0, pb.EngineEvent_UP, ""), probe(0.5, "a"), probe(1, "a"), probe(1.4, "b"), probe(1.9, "a"), probe(2.4, "b"),
+		engine(3, pb.EngineEvent_DOWN, ""), engine(8, pb.EngineEvent_UP, ""), probe(8.4, "a"), probe(9.6, "a"), probe(30, "c"))
+	one := CountProbes(entries, 1, 10, 1)
+	require.Len(t, one, 1)
+	assert.InDelta(t, 1.2, one[0].Longest, 1e-9)
+	assert.Equal(t, []any{"e", 6, 3, 2}, []any{one[0].Engine, one[0].Count, one[0].Most, one[0].Peers})
+	assert.Equal(t, 2, CountProbes(entries, 1, 10, 0.5)[0].Most)
+	assert.InDelta(t, 20.4, CountProbes(entries, 1, 30, 1)[0].Longest, 1e-9)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -44,6 +44,9 @@
 	refused    *prometheus.CounterVec
 	released   *prometheus.CounterVec
 	delay      prometheus.Histogram
+	probed     *prometheus.CounterVec
+	tookOver   *prometheus.CounterVec
+	heard      *prometheus.CounterVec
 }
 
 // NewMetrics makes the figures of a router with workloads of those names.
@@ -70,6 +73,9 @@
 	m := &Metrics{Registry: reg,
 		refused:  counter("refused_total", "Calls refused before a completion was taken.", "status"),
 		released: counter("released_total", "States and places let go, by who saw to it.", "reason"),
+		probed:   counter("probes_total", "Probes, and needs of one that were met otherwise, by reason.", "reason"),
+		tookOver: counter("duties_taken_over_total", "Duties whose last result was another router's, by cause.", "cause"),
+		heard:    counter("peer_results_total", "Other routers' results, by standing.", "standing"),
 		delay: prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "cherryhub", Name: "planner_delay_seconds",
 			Help: "From a fact's telling to the planner's reading.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 12)})}
 	reg.MustRegister(m.delay)
@@ -131,3 +137,8 @@
 
 func (m *Metrics) Refused(status int)     { m.refused.WithLabelValues(strconv.Itoa(status)).Inc() }
 func (m *Metrics) Released(reason string) { m.released.WithLabelValues(reason).Inc() }
+
+// Probed is of peer.Observer, as are the two below.
+func (m *Metrics) Probed(reason string)  { m.probed.WithLabelValues(reason).Inc() }
+func (m *Metrics) TookOver(cause string) { m.tookOver.WithLabelValues(cause).Inc() }
+func (m *Metrics) Heard(standing string) { m.heard.WithLabelValues(standing).Inc() }
