--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -219,7 +219,7 @@
 			had := m.Has(f)
 			part := m.Mutable(f).Message()
 			fill(part)
-			if !had && (required(f) || empty(part)) {
+			if !had && (required(f) || empty(part) || wants(part)) {
 				m.Clear(f)
 			}
 		case !m.Has(f) && f.HasDefault():
@@ -228,6 +228,17 @@
 	}
 }
 
+// wants tells whether a message lacks a field that must be given: it stands for nothing by its defaults alone.
+func wants(m protoreflect.Message) bool {
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		if f := fields.Get(i); required(f) && !m.Has(f) {
+			return true
+		}
+	}
+	return false
+}
+
 func empty(m protoreflect.Message) bool {
 	empty := true
 	m.Range(func(protoreflect.FieldDescriptor, protoreflect.Value) bool {
--- a/internal/config/refer.go
+++ b/internal/config/refer.go
@@ -116,6 +116,8 @@
 		return
 	case (l.GetUrl() == "") == (l.GetFile() == ""):
 		c.add(at+"list", "wants either url or file")
+	case l.GetAsk() && l.GetUrl() == "":
+		c.add(at+"list.ask", "wants a url: a file is read again by itself")
 	case l.GetUrl() != "":
 		if u, err := url.Parse(l.GetUrl()); err != nil || u.Scheme != "http" || u.Host == "" {
 			c.add(at+"list.url", "%q is no http:// URL", l.GetUrl())
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -118,7 +118,7 @@
 		r.Name, r.Zone, r.Listen, r.AdminListen = place.Name, proto.String(place.GetZone()), proto.String(address), proto.String("")
 		r.Routers, r.SourceAddress = proto.Int32(int32(len(p.day.GetRouters()))), proto.String(source)
 		r.Seed = proto.Uint64(p.day.GetSeed()*1000 + uint64(i) + 1)
-		r.List = &pb.EngineList{Url: proto.String(p.fleet.List.URL())}
+		r.List.Url = proto.String(p.fleet.List.URL())
 		if peers != nil {
 			r.Peers.Listen, r.Peers.Seeds = proto.String(peers[i]), append(append([]string(nil), peers[:i]...), peers[i+1:]...)
 		}
--- a/internal/day/day_test.go
+++ b/internal/day/day_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"cherryhub/deploy"
 	"cherryhub/internal/config"
@@ -37,11 +38,14 @@
 }
 
 // play plays a day that ships and returns its record and the rules' report.
-func play(t *testing.T, name string) ([]*pb.Entry, *rules.Report) {
+func play(t *testing.T, name string, change ...func(*pb.Day)) ([]*pb.Entry, *rules.Report) {
 	text, err := fs.ReadFile(deploy.Files, name)
 	require.NoError(t, err)
 	d := &pb.Day{}
 	require.NoError(t, config.Parse(name, text, d))
+	for _, f := range change {
+		f(d)
+	}
 	dir := t.TempDir()
 	logs, err := os.Create(filepath.Join(dir, "logs"))
 	require.NoError(t, err)
@@ -96,3 +100,31 @@
 		assert.Greater(t, p.Count, 18, "%+v", p)
 	}
 }
+
+// TestAskedList: five routers whose list service pushes nothing. One asks for all, and all hear of a change.
+func TestAskedList(t *testing.T) {
+	t.Parallel()
+	entries, report := play(t, "days/peers.textproto", func(d *pb.Day) {
+		d.Router.List.Ask, d.Router.List.PollS = proto.Bool(true), proto.Float64(0.5)
+		d.Troubles = []*pb.Trouble{{Kind: pb.Kind_DEATH.Enum(), AtS: proto.Float64(7), LengthS: proto.Float64(30), Engines: []string{"writer-0"}},
+			{Kind: pb.Kind_ROUTER_KILLED.Enum(), AtS: proto.Float64(9), LengthS: proto.Float64(30), Router: proto.String("router-a")}}
+	})
+	for _, rule := range rules.Rules() {
+		assert.True(t, report.Kept(rule), "%v", rule)
+	}
+	asked, last := map[string]int{}, map[string]float64{}
+	calls := 0
+	for _, e := range entries {
+		if l := e.GetList(); l != nil && l.GetEngine() == "reader-0" && e.GetAtS() > 5 && e.GetAtS() < 15 {
+			calls++ // each answer tells of it once
+			asked[l.GetRouter()]++
+		}
+		if ev := e.GetEngine(); ev.GetKind() == pb.EngineEvent_PROBED && ev.GetEngine() == "reader-0" {
+			last[ev.GetPeer()] = e.GetAtS()
+		}
+	}
+	assert.InDelta(t, 20, calls, 8, "one in half a second, by all together: %v", asked)
+	for _, w := range report.Works {
+		assert.Greater(t, w.Finished, w.Taken*9/10, "all routers have the list: %+v", w)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,8 @@
 //
 // epoch grows with each start of the service, version with each change; a delta's is the one before it plus
 // one. start tells two starts of an engine apart; age_s is its age when the line is sent, left out for long ago.
-// A file holds one line of the kind "full".
+// A file holds one line of the kind "full", as does the answer to a GET without watch=1: where the settings say
+// that the service is to be asked, it is, each poll.
 package fleet
 
 import (
@@ -29,6 +30,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 
 	"cherryhub/decide"
@@ -72,10 +74,13 @@
 	tell        func(link.Fact)
 	log         *slog.Logger
 	client      *http.Client
-	epoch       int64 // of the list in force
-	version     int64
-	known       bool
 	last        []byte // of a file
+	ask         bool
+
+	mu      sync.Mutex
+	epoch   int64 // of the list in force
+	version int64
+	known   bool
 }
 
 // Options of a follower: one of URL and File.
@@ -83,6 +88,7 @@
 	URL, File     string
 	Poll, Retry   time.Duration
 	MaxEngines    int
+	Ask           bool   // the service pushes nothing
 	SourceAddress string // dial from this address, empty for any
 	Tell          func(link.Fact)
 	Log           *slog.Logger
@@ -94,7 +100,7 @@
 	if ip := net.ParseIP(o.SourceAddress); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return &Follower{url: o.URL, file: o.File, poll: o.Poll, retry: o.Retry, most: o.MaxEngines, tell: o.Tell, log: o.Log,
+	return &Follower{url: o.URL, file: o.File, poll: o.Poll, retry: o.Retry, most: o.MaxEngines, ask: o.Ask, tell: o.Tell, log: o.Log,
 		client: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, ResponseHeaderTimeout: quietMost}}}
 }
 
@@ -104,9 +110,12 @@
 	for ctx.Err() == nil {
 		wait := f.poll
 		var err error
-		if f.file != "" {
+		switch {
+		case f.file != "":
 			err = f.read()
-		} else {
+		case f.ask:
+			_, err = f.Ask(ctx)
+		default:
 			err = f.watch(ctx)
 			wait = time.Duration(float64(f.retry) * (0.5 + rand.Float64()))
 		}
@@ -121,6 +130,47 @@
 	}
 }
 
+// Ask gets the whole list from the service, puts it in force and returns its text, for others to Take.
+func (f *Follower) Ask(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, quietMost)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("list service: %w", err)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("list service: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list service %s: status %d", f.url, resp.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxLine+1))
+	if err != nil {
+		return nil, fmt.Errorf("list service %s: %w", f.url, err)
+	}
+	if err := f.Take(text); err != nil {
+		return nil, err
+	}
+	return text, nil
+}
+
+// Take puts a whole list in force that this or another router got, unless it is malformed, empty or stale.
+func (f *Follower) Take(text []byte) error {
+	line, err := parse(text, f.most)
+	if err == nil && line.Kind != "full" {
+		err = fmt.Errorf("kind %q, wanted full", line.Kind)
+	}
+	if err == nil {
+		err = f.apply(line)
+	}
+	if err != nil {
+		return fmt.Errorf("list service %s: %w", f.url, err)
+	}
+	return nil
+}
+
 // read reads the file if it has changed.
 func (f *Follower) read() error {
 	file, err := os.Open(f.file)
@@ -226,6 +276,8 @@
 
 // apply takes a line that is whole, unless it is stale or leaves a gap.
 func (f *Follower) apply(l *Line) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if l.Kind == "alive" {
 		if l.Epoch != f.epoch || l.Version != f.version {
 			return fmt.Errorf("alive at version %d.%d, but %d.%d is in force", l.Epoch, l.Version, f.epoch, f.version)
@@ -239,6 +291,9 @@
 	case l.Kind == "delta" && (l.Epoch != f.epoch || l.Version != f.version+1):
 		return fmt.Errorf("a change to version %d.%d, but %d.%d is in force", l.Epoch, l.Version, f.epoch, f.version)
 	}
+	if f.ask && f.known && l.Epoch == f.epoch && l.Version == f.version {
+		return nil // asked again, and nothing is new
+	}
 	f.epoch, f.version, f.known = l.Epoch, l.Version, true
 	list := &link.List{Kind: decide.ListFull}
 	if l.Kind == "delta" {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -45,8 +45,13 @@
 	meta []byte
 }
 
-// packetMost bounds a message, in bytes: one UDP packet with room for the key's and memberlist's own.
-const packetMost = 1200
+const (
+	packetMost  = 1200    // bytes of a message that goes by UDP: one packet with room for the key's and memberlist's own
+	messageMost = 4 << 20 // bytes of any
+)
+
+// lastWords is some rounds of gossip.
+const lastWords = 300 * time.Millisecond
 
 // rejoin is how often an instance that sees nobody asks its seeds again.
 const rejoin = 2 * time.Second
@@ -101,17 +106,21 @@
 	}
 }
 
-// Tell sends a message to all in sight, as well as UDP can.
+// Tell sends a message to all in sight: a short one as well as UDP can, a long one over TCP, one after another.
 func (g *Group) Tell(message []byte) error {
+	if len(message) > messageMost {
+		return fmt.Errorf("peers: a message of %d bytes, %d are the most", len(message), messageMost)
+	}
+	send := g.list.SendBestEffort
 	if len(message) > packetMost {
-		return fmt.Errorf("peers: a message of %d bytes, %d are the most", len(message), packetMost)
+		send = g.list.SendReliable
 	}
 	var all error
 	for _, n := range g.list.Members() {
 		if n.Name == g.o.Self.Name {
 			continue
 		}
-		if err := g.list.SendBestEffort(n, message); err != nil {
+		if err := send(n, message); err != nil {
 			all = errors.Join(all, fmt.Errorf("peers: tell %s: %w", n.Name, err))
 		}
 	}
@@ -120,7 +129,9 @@
 
 // Stop says that this router goes, and ends its part.
 func (g *Group) Stop() error {
-	return errors.Join(g.list.Leave(500*time.Millisecond), g.list.Shutdown())
+	err := g.list.Leave(500 * time.Millisecond)
+	time.Sleep(lastWords) // the word goes out a few times: one packet may be lost
+	return errors.Join(err, g.list.Shutdown())
 }
 
 func (g *Group) view() {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -27,8 +27,11 @@
 	pb "cherryhub/proto"
 )
 
-// KindProbe is the duty of asking an engine for its figures.
-const KindProbe duty.Kind = "probe"
+// The kinds of duty: asking an engine for its figures, and asking for the engine list where it is not pushed.
+const (
+	KindProbe duty.Kind = "probe"
+	KindList  duty.Kind = "list"
+)
 
 const (
 	probesMost = 256                   // that run at once
@@ -45,10 +48,19 @@
 	Member     member.Options // all but what the peer itself fills in
 	Probe      func(ctx context.Context, address string) ([]float64, error)
 	Tell       func(link.Fact)
+	Refresh    *Refresh // nil where the engine list is pushed
 	Log        *slog.Logger
 	Observe    Observer
 }
 
+// Refresh is the duty of asking for the engine list: one asks, and all take what came.
+type Refresh struct {
+	Subject string  // the service
+	Every   float64 // seconds
+	Ask     func(ctx context.Context) ([]byte, error)
+	Take    func(text []byte) error
+}
+
 // Observer hears what a peer does; calls must not block.
 type Observer interface {
 	Probed(reason string)
@@ -87,6 +99,7 @@
 	if p.table, err = duty.New(0, o.Duty); err != nil {
 		return nil, err
 	}
+	p.setDuties()
 	return p, nil
 }
 
@@ -104,6 +117,9 @@
 	p.group = group
 	p.mu.Unlock()
 	var probes sync.WaitGroup
+	if p.o.Refresh != nil {
+		probes.Go(func() { p.first(ctx) })
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
@@ -132,6 +148,26 @@
 	return group.Stop()
 }
 
+// first asks for the engine list at the start: a router without one can serve nobody, and duties begin only once
+// the others are known.
+func (p *Peer) first(ctx context.Context) {
+	for wait := firstAgain; ; wait = min(2*wait, 16*firstAgain) {
+		_, err := p.o.Refresh.Ask(ctx)
+		if err == nil {
+			return
+		}
+		p.o.Log.Warn("no engine list yet", "err", err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+		}
+	}
+}
+
+// firstAgain is the first wait between tries for the first list; it doubles.
+const firstAgain = 100 * time.Millisecond
+
 func (p *Peer) took(a duty.Act) {
 	p.o.Observe.Probed(a.Cause.String())
 	if a.TakeOver {
@@ -142,17 +178,26 @@
 
 // act does a duty and tells of it.
 func (p *Peer) act(ctx context.Context, a duty.Act) {
-	report, err := p.o.Probe(ctx, a.Subject)
-	outcome := engine.ProbeOutcome(err)
-	p.keep(a.Subject, outcome, report)
-	p.o.Tell(link.Fact{Kind: link.Probed, Address: a.Subject, Outcome: outcome, Report: report})
-	payload, bad := proto.Marshal(&pb.ProbeResult{Outcome: proto.Int32(int32(outcome)), Report: report, Columns: p.o.Columns})
+	var payload []byte
+	var bad error
+	if a.Kind == KindList {
+		payload, bad = p.o.Refresh.Ask(ctx)
+	} else {
+		report, err := p.o.Probe(ctx, a.Subject)
+		outcome := engine.ProbeOutcome(err)
+		p.keep(a.Subject, outcome, report)
+		p.o.Tell(link.Fact{Kind: link.Probed, Address: a.Subject, Outcome: outcome, Report: report})
+		payload, bad = proto.Marshal(&pb.ProbeResult{Outcome: proto.Int32(int32(outcome)), Report: report, Columns: p.o.Columns})
+	}
 	p.mu.Lock()
 	result, tell := p.table.Done(p.now(), a, payload)
 	group := p.group
 	p.mu.Unlock()
+	if bad != nil {
+		p.o.Log.Info("duty failed", "duty", a.Kind, "subject", a.Subject, "err", bad)
+	}
 	if !tell || bad != nil || ctx.Err() != nil {
-		return
+		return // those who stand by step in
 	}
 	message, bad := proto.Marshal(&pb.PeerResults{Results: []*pb.PeerResult{{Kind: proto.String(string(result.Kind)), Subject: &result.Subject,
 		Epoch: &result.Epoch.N, Owner: &result.Epoch.Owner, Incarnation: &result.Origin.Incarnation, AgeS: &result.Age, Payload: payload}}})
@@ -178,8 +223,16 @@
 			Age: r.GetAgeS(), Payload: r.GetPayload()})
 		p.mu.Unlock()
 		p.o.Observe.Heard(standing.String())
-		if standing == duty.Fresh && duty.Kind(r.GetKind()) == KindProbe {
+		if standing != duty.Fresh {
+			continue
+		}
+		switch duty.Kind(r.GetKind()) {
+		case KindProbe:
 			p.use(r.GetSubject(), r.GetPayload())
+		case KindList:
+			if err := p.o.Refresh.Take(r.GetPayload()); err != nil {
+				p.o.Log.Warn("another's engine list is not taken", "from", r.GetOwner(), "err", err)
+			}
 		}
 	}
 }
@@ -274,12 +327,21 @@
 			delete(p.engines, e.Address)
 		}
 	}
+	p.setDuties()
+	p.wake()
+}
+
+// setDuties makes the duties of the engines that are ready, and of the list.
+func (p *Peer) setDuties() {
+	var all []duty.Duty
+	if r := p.o.Refresh; r != nil {
+		all = append(all, duty.Duty{Key: duty.Key{Kind: KindList, Subject: r.Subject}, Interval: r.Every, Candidates: p.o.Candidates})
+	}
 	addresses := make([]string, 0, len(p.engines))
 	for a := range p.engines { // sorted below
 		addresses = append(addresses, a)
 	}
 	slices.Sort(addresses)
-	all := make([]duty.Duty, 0, len(addresses))
 	fresh := make(map[string]*known, len(addresses))
 	for _, a := range addresses {
 		all = append(all, duty.Duty{Key: duty.Key{Kind: KindProbe, Subject: a}, Zone: p.engines[a].Zone, Interval: p.o.Interval, Candidates: p.o.Candidates})
@@ -289,7 +351,6 @@
 	}
 	p.known = fresh
 	p.table.SetDuties(p.now(), all)
-	p.wake()
 }
 
 func (p *Peer) wake() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,15 +65,20 @@
 	metrics := telemetry.NewMetrics(names)
 	eo := config.Edge(r)
 	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
-	var tell func(link.Fact)
-	var among *peer.Peer
+	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3)}
+	l := r.GetList()
+	follower := fleet.New(fleet.Options{URL: l.GetUrl(), File: l.GetFile(), Poll: config.Seconds(l.GetPollS()), Ask: l.GetAsk(),
+		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: one.listed, Log: log})
 	if o := config.Peer(r); o != nil {
 		o.Probe, o.Log, o.Observe = client.Probe, log, metrics
-		o.Tell = func(f link.Fact) { tell(f) }
-		if among, err = peer.New(*o); err != nil {
+		o.Tell = func(f link.Fact) { one.Planner.Tell(f) }
+		if l.GetAsk() {
+			o.Refresh = &peer.Refresh{Subject: l.GetUrl(), Every: l.GetPollS(), Ask: follower.Ask, Take: follower.Take}
+		}
+		if one.peer, err = peer.New(*o); err != nil {
 			return nil, errors.Join(fmt.Errorf("router %s: %w", r.GetName(), err), ln.Close())
 		}
-		eo.Probe = among.Probe
+		eo.Probe = one.peer.Probe
 	}
 	e := edge.New(eo)
 	po := config.Planner(r)
@@ -84,23 +89,21 @@
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 	}
 	e.Plan(p)
-	tell = p.Tell
 	metrics.Watch(p, e)
-	one := &Router{Edge: e, Planner: p, Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), peer: among}
+	one.Edge, one.Planner = e, p
 	if err := one.serveAdmin(); err != nil {
 		ln.Close() //nolint:errcheck // it was never used
 		return nil, err
 	}
 	ctx, end := context.WithCancel(context.Background())
 	one.end = end
-	l := r.GetList()
-	follower := fleet.New(fleet.Options{URL: l.GetUrl(), File: l.GetFile(), Poll: config.Seconds(l.GetPollS()),
-		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: one.listed, Log: log})
 	one.parts.Go(func() { p.Run(ctx) })
-	one.parts.Go(func() { follower.Run(ctx) })
-	if among != nil {
+	if one.peer == nil || !l.GetAsk() { // else asking is a duty
+		one.parts.Go(func() { follower.Run(ctx) })
+	}
+	if one.peer != nil {
 		one.parts.Go(func() {
-			if err := among.Run(ctx); err != nil {
+			if err := one.peer.Run(ctx); err != nil {
 				one.fault <- err
 			}
 		})
