Who goes says so by itself; a stand-in's address is set once; a stop right after a start

Change: the last word is a message of ours over TCP; the stand-in keeps its address; no shutdown of what does not run yet.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -202,7 +202,10 @@
 	// No stream is left: what connections there are wait for a next call. Shutdown would wait with them.
 	idle, off := context.WithTimeout(last, time.Millisecond)
 	defer off()
-	err := e.server.Shutdown(idle)
+	var err error
+	if e.server.IsRunning() { // else it was stopped before it had begun
+		err = e.server.Shutdown(idle)
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		err = nil
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -24,14 +24,13 @@
 	pb "cherryhub/proto"
 )
 
-// Options of a group. Sight, Left and Heard are called from memberlist's goroutines and must not block.
+// Options of a group. Sight and Heard are called from memberlist's goroutines and must not block.
 type Options struct {
 	Self   duty.Member
 	Listen string   // IP:port, TCP and UDP
 	Seeds  []string // addresses of some others
 	KeyHex string   // 16, 24 or 32 bytes
 	Sight  func(members []duty.Member)
-	Left   func(name string) // it said that it goes
 	Heard  func(message []byte)
 	Log    *slog.Logger
 }
@@ -108,13 +107,21 @@
 
 // Tell sends a message to all in sight: a short one as well as UDP can, a long one over TCP, one after another.
 func (g *Group) Tell(message []byte) error {
+	if len(message) > packetMost {
+		return g.TellSurely(message)
+	}
+	return g.tell(message, g.list.SendBestEffort)
+}
+
+// TellSurely is Tell over TCP.
+func (g *Group) TellSurely(message []byte) error {
 	if len(message) > messageMost {
 		return fmt.Errorf("peers: a message of %d bytes, %d are the most", len(message), messageMost)
 	}
-	send := g.list.SendBestEffort
-	if len(message) > packetMost {
-		send = g.list.SendReliable
-	}
+	return g.tell(message, g.list.SendReliable)
+}
+
+func (g *Group) tell(message []byte, send func(*memberlist.Node, []byte) error) error {
 	var all error
 	for _, n := range g.list.Members() {
 		if n.Name == g.o.Self.Name {
@@ -176,11 +183,7 @@
 	delete(g.in, n.Name)
 	g.view()
 	g.mu.Unlock()
-	left := n.State == memberlist.StateLeft
-	g.o.Log.Info("peer out of sight", "member", n.Name, "said so", left)
-	if left {
-		g.o.Left(n.Name)
-	}
+	g.o.Log.Info("peer out of sight", "member", n.Name)
 }
 
 // NodeMeta is of memberlist.Delegate, as are those below.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -109,7 +109,7 @@
 // Run joins the group and does duties until the context ends.
 func (p *Peer) Run(ctx context.Context) error {
 	o := p.o.Member
-	o.Sight, o.Left, o.Heard, o.Log = p.sees, p.left, p.heard, p.o.Log
+	o.Sight, o.Heard, o.Log = p.sees, p.heard, p.o.Log
 	group, err := member.Start(ctx, o)
 	if err != nil {
 		return err
@@ -146,6 +146,12 @@
 		}
 	}
 	probes.Wait()
+	// memberlist's event of one who goes looks like that of one who died: it is said here.
+	if message, err := proto.Marshal(&pb.PeerResults{Leaves: &p.o.Duty.Self.Name}); err == nil {
+		if err := group.TellSurely(message); err != nil {
+			p.o.Log.Info("not all know that this router goes", "err", err)
+		}
+	}
 	return group.Stop()
 }
 
@@ -220,6 +226,9 @@
 		p.o.Log.Warn("peers: a message that is not understood", "err", err)
 		return
 	}
+	if name := all.GetLeaves(); name != "" {
+		p.left(name)
+	}
 	for _, r := range all.GetResults() {
 		p.mu.Lock()
 		standing := p.table.Heard(p.now(), duty.Result{Key: duty.Key{Kind: duty.Kind(r.GetKind()), Subject: r.GetSubject()},
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -148,7 +148,7 @@
 			}
 		}
 		return true
-	}, 5*time.Second, 10*time.Millisecond, "who says that it goes is off the roster at once")
+	}, 3*time.Second, 10*time.Millisecond, "who says that it goes is off the roster at once")
 	time.Sleep(600 * time.Millisecond)
 	for _, d := range all[1].Duties() {
 		assert.Less(t, d.Since, 0.6, "%+v", d)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -108,7 +108,10 @@
 	mux.HandleFunc("GET /metrics", e.serveMetrics)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second}
 	e.mu.Lock()
-	e.address, e.server, e.up = ln.Addr().String(), server, true
+	if e.address == "" { // it keeps its address for life, and others read it
+		e.address = ln.Addr().String()
+	}
+	e.server, e.up = server, true
 	e.life, e.die = context.WithCancel(context.Background())
 	cold := !e.started.IsZero()
 	e.mu.Unlock()
