Test of places that a paused writer grants late

Change: a writer that stands still while a place is asked for, with a client that waits and one that leaves.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -338,3 +338,31 @@
 	time.Sleep(400 * time.Millisecond)
 	assert.Equal(t, 1, count(g.end(), pb.EngineEvent_STATE_RELEASED))
 }
+
+// TestPlaceOfPausedWriter: a writer that stands still grants a place long after its write was sent, or after the
+// client has left and its release has come. It is let go all the same (the rules say so at the end).
+func TestPlaceOfPausedWriter(t *testing.T) {
+	for name, patience := range map[string]time.Duration{"after its write": 3 * time.Second, "after its release": 150 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			g := start(t, func(r *pb.Router, f *pb.Fleet) {
+				r.Allowed.Places = proto.Bool(true)
+				f.Engines[1].Count = proto.Int32(1)
+			})
+			g.each("writer", func(e *standin.Engine) { e.Paused(true) })
+			ctx, cancel := context.WithTimeout(t.Context(), patience)
+			defer cancel()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				g.post(ctx, "m", long, "") //nolint:errcheck // how it ends does not matter here
+			}()
+			time.Sleep(500 * time.Millisecond)
+			g.each("writer", func(e *standin.Engine) { e.Paused(false) })
+			<-done
+			time.Sleep(400 * time.Millisecond)
+			entries := g.end()
+			assert.Equal(t, count(entries, pb.EngineEvent_PLACE_HELD),
+				count(entries, pb.EngineEvent_PLACE_RELEASED)+count(entries, pb.EngineEvent_PLACE_TAKEN))
+		})
+	}
+}
