The late place's test waits until the call for it is given up

Need: the second case passed without its guard, as the call for the place was still waiting. Change: that writer stands still for 1.3 s.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -357,6 +357,9 @@
 				g.post(ctx, "m", long, "") //nolint:errcheck // how it ends does not matter here
 			}()
 			time.Sleep(500 * time.Millisecond)
+			if patience < time.Second {
+				time.Sleep(800 * time.Millisecond) // the call for the place has been given up too
+			}
 			g.each("writer", func(e *standin.Engine) { e.Paused(false) })
 			<-done
 			time.Sleep(400 * time.Millisecond)
