One place for an engine's word and for the own let-go time; unused accessors gone

Need: reading the whole change again: handing on an engine's verdict stood twice in one function, the edge's own let-go time was computed in two places, three accessors of the stand-ins had no caller. Change: giveFault and ownLetGo; List.Asked with its count, Engine.Name and Engine.Address removed.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -276,7 +276,7 @@
 
 func (c *completion) arm(h *holding) {
 	h.used = false
-	h.timer = time.AfterFunc(c.e.o.LetGo*letGoPart/100, func() {
+	h.timer = time.AfterFunc(c.e.ownLetGo(), func() {
 		c.mu.Lock()
 		mine := !h.used && (c.state == h || c.place == h)
 		if c.state == h && mine {
@@ -297,6 +297,9 @@
 // the call's way.
 const letGoPart = 60
 
+// ownLetGo is the time after which the edge, and an engine's lease, let go by themselves.
+func (e *Edge) ownLetGo() time.Duration { return e.o.LetGo * letGoPart / 100 }
+
 // giveBack ends a write's use of a state: it is gone, or waits again.
 func (c *completion) giveBack(h *holding, gone bool) {
 	if h == nil {
@@ -380,7 +383,7 @@
 		defer c.e.runs.Add(-1)
 		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
 		defer cancel()
-		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt, c.e.o.LetGo*letGoPart/100)
+		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt, c.e.ownLetGo())
 		if err != nil {
 			c.e.o.Log.Debug("no place", "completion", c.name, "engine", h.address, "err", err)
 			c.e.release(h, "unsure")
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -101,8 +101,7 @@
 	case r := <-c.begun:
 		return c.relay(ctx, rc, r, arrived, end)
 	case result := <-c.fault:
-		c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
-		return Finished
+		return c.giveFault(rc, result)
 	case o := <-c.final:
 		if c.won.CompareAndSwap(0, answered) {
 			return c.giveFinal(rc, o, deadline)
@@ -123,11 +122,16 @@
 	case r := <-c.begun:
 		return c.relay(ctx, rc, r, arrived, end)
 	case result := <-c.fault:
-		c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
-		return Finished
+		return c.giveFault(rc, result)
 	}
 }
 
+// giveFault hands on an engine's word that the completion is at fault.
+func (c *completion) giveFault(rc *app.RequestContext, result *engine.Result) Answer {
+	c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
+	return Finished
+}
+
 // leave tells the planner that no answer is owed any more, and ends the dispatches.
 func (c *completion) leave() {
 	c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -84,12 +84,6 @@
 		states: map[string]*state{}, places: map[string]float64{}, ills: ills{slower: 1, failsModel: -1}, changed: make(chan struct{})}
 }
 
-// Name is the engine's name in records.
-func (e *Engine) Name() string { return e.name }
-
-// Address is where it listens.
-func (e *Engine) Address() string { return e.address }
-
 func (e *Engine) listen(address string) error {
 	var ln net.Listener
 	var err error
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"sync"
@@ -29,7 +28,6 @@
 	empty   bool
 	gone    bool
 	round   int              // grows when watchers are to come again
-	asked   map[string]int   // calls, by router
 	heard   map[string]int64 // the start that a router heard of last, by router and engine
 }
 
@@ -45,7 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("list service: %w", err)
 	}
-	l := &List{fleet: f, ln: ln, epoch: time.Now().UnixMilli(), delay: delay, heard: map[string]int64{}, asked: map[string]int{}}
+	l := &List{fleet: f, ln: ln, epoch: time.Now().UnixMilli(), delay: delay, heard: map[string]int64{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/engines", l.serve)
 	l.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
@@ -121,7 +119,6 @@
 	peer := l.fleet.placeOf(host).name
 	l.mu.Lock()
 	gone, round := l.gone, l.round
-	l.asked[peer]++
 	l.mu.Unlock()
 	if gone {
 		http.Error(w, "gone", http.StatusServiceUnavailable)
@@ -228,10 +225,3 @@
 	defer l.mu.Unlock()
 	return l.heard[router+"/"+engine] == started.UnixMilli()
 }
-
-// Asked is how often each router called, by its address.
-func (l *List) Asked() map[string]int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return maps.Clone(l.asked)
-}
