Clients come in through a door: admission, refusals, descriptors, TLS, slow bodies

Known clients must get in while everybody connects at once; the decisions of internal/admit had no user.

internal/door owns the clients' sockets until a call is read: accepts for netpoll, refuses without goroutine or parser, lingers, keeps a spare descriptor, speaks TLS (Hertz's standard transport, netpoll has none) with files reloaded whole. The edge asks it for calls, completions and early returns; bodies and slow readers have least rates; the engine client stays within its descriptors; the admin address is bounded; the process's limit is raised, divided and told. cherryhub admission, /admission and figures. On by default, admission { off: true } lets everybody in.

--- a/cmd/cherryhub/admin.go
+++ b/cmd/cherryhub/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"cherryhub/internal/admit"
 	"cherryhub/internal/router"
 )
 
@@ -36,11 +37,11 @@
 }
 
 // adminCommand is a command that shows what an admin address tells, as a table or as JSON.
-func adminCommand[T any](use, short, path string, table func(w io.Writer, all []T)) *cobra.Command {
+func adminCommand[T any](use, short, path string, table func(w io.Writer, all T)) *cobra.Command {
 	var address string
 	var asJSON bool
 	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
-		var all []T
+		var all T
 		if err := ask(address, path, &all); err != nil {
 			return err
 		}
@@ -89,3 +90,28 @@
 		}
 	})
 }
+
+func admissionCommand() *cobra.Command {
+	return adminCommand("admission", "Show who holds connections, what is kept for whom, and what was refused", "/admission",
+		func(w io.Writer, s router.AdmissionStatus) {
+			if !s.On {
+				fmt.Fprintln(w, "everybody is let in")
+				return
+			}
+			fmt.Fprintln(w, s.Descriptors)
+			fmt.Fprintln(w, "\nroom\tused\tmost")
+			for _, r := range s.Rooms {
+				fmt.Fprintf(w, "%s\t%d\t%d\n", r.Name, r.Used, r.Most)
+			}
+			fmt.Fprintf(w, "\nlet in\t%d\n\nreason\trefused\tended\n", s.Let)
+			for i := range admit.Reason(admit.Reasons) {
+				if name := i.String(); s.Refused[name]+s.Ended[name] > 0 {
+					fmt.Fprintf(w, "%s\t%d\t%d\n", name, s.Refused[name], s.Ended[name])
+				}
+			}
+			fmt.Fprintln(w, "\nholder\tknown\tconnections\tanteroom\tcompletions")
+			for _, h := range s.Holders {
+				fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", h.Name, yes(h.Known), h.Connections, h.Anteroom, h.Completions)
+			}
+		})
+}
--- a/internal/admit/figures.go
+++ b/internal/admit/figures.go
@@ -76,7 +76,7 @@
 
 // Divide divides a limit. It fails where nothing sensible is left for engines, and says the sum.
 func Divide(limit, admin, peers int, s Settings) (Descriptors, error) {
-	d := Descriptors{Limit: limit, Own: ownDescriptors, Admin: admin, Peers: peers, Connections: s.Connections, Leaving: s.Leaving}
+	d := Descriptors{Limit: limit, Own: OwnDescriptors, Admin: admin, Peers: peers, Connections: s.Connections, Leaving: s.Leaving}
 	d.Engines = limit - d.Own - d.Admin - d.Peers - d.Connections - d.Leaving
 	d.Completions = min(s.Completions, d.Engines/PerCompletion)
 	if d.Completions < 1 {
@@ -88,8 +88,8 @@
 	return d, nil
 }
 
-// ownDescriptors is what the process needs for itself, with room: it had 23 open at its start.
-const ownDescriptors = 64
+// OwnDescriptors is what the process needs for itself, with room: it had 23 open at its start.
+const OwnDescriptors = 64
 
 // String is the sum as an operator reads it.
 func (d Descriptors) String() string {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -71,6 +71,7 @@
 cold { fall_window_s: 0 }
 limits { max_completions: 100000 mailbox: 50000 }
 timing { stream_idle_s: 600 }
+admission { off: true }
 log { level: ERROR }
 list { file: %q }`
 
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -125,6 +125,7 @@
 			MaxDepth: int(l.GetMaxDepth()), MaxMessages: int(l.GetMaxMessages()), MaxAnswerBytes: int(l.GetMaxAnswerBytes())},
 		Identity: edge.Identity{SessionFrom: id.GetSessionFrom(), SharedFromLeading: id.GetSharedFromLeading(),
 			BytesPerToken: id.GetBytesPerToken()},
+		BodyWait: Seconds(r.GetAdmission().GetBodyWaitS()), BodyRate: r.GetAdmission().GetBodyBytesPerS(), ReadRate: r.GetAdmission().GetReadBytesPerS(),
 		Margin: ms(t.GetAnswerMarginMs()), LetGo: Seconds(r.GetLetGoS()), StreamMost: Seconds(t.GetStreamMostS()),
 		ClientWrite: Seconds(t.GetClientWriteS()), Idle: Seconds(t.GetIdleS()), ComeBack: Seconds(r.GetAllowed().GetMaxComeBackS()),
 	}
--- a/internal/config/refer.go
+++ b/internal/config/refer.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/netip"
 	"net/url"
 	"strconv"
 
@@ -21,6 +22,8 @@
 		c.fleet(m, "")
 	case *pb.Day:
 		c.day(m)
+	case *pb.Admission:
+		c.admission(m, "")
 	}
 }
 
@@ -63,11 +66,47 @@
 		}
 	}
 	c.peers(r, at)
+	c.admission(r.GetAdmission(), at+"admission.")
+	if r.GetAdmission() != nil && r.GetAdmissionFile() != "" {
+		c.add(at+"admission_file", "is there besides admission: wanted one of them")
+	}
+	tenants := map[string]bool{}
+	for _, t := range r.GetTenants() {
+		tenants[t.GetName()] = true
+	}
+	for i, k := range r.GetAdmission().GetClients() {
+		if k.GetTenant() != "" && !tenants[k.GetTenant()] {
+			c.add(fmt.Sprintf("%sadmission.clients[%d].tenant", at, i), "%q is none of tenants", k.GetTenant())
+		}
+	}
 	if margin := r.GetTiming().GetAnswerMarginMs(); margin < 4*r.GetTiming().GetTickMs() {
 		c.add(at+"timing.answer_margin_ms", "%v is under four ticks (timing.tick_ms %v): answers could come late", margin, r.GetTiming().GetTickMs())
 	}
 }
 
+// admission checks what it can without knowing the descriptors that there are: that is done at the start.
+func (c *checker) admission(a *pb.Admission, at string) {
+	names, keys := map[string]bool{}, map[string]bool{}
+	for i, k := range a.GetClients() {
+		field := fmt.Sprintf("%sclients[%d]", at, i)
+		c.differ(names, field+".name", k.GetName())
+		for j, sum := range k.GetKeySha256() {
+			if b, err := hex.DecodeString(sum); err != nil || len(b) != 32 {
+				c.add(fmt.Sprintf("%s.key_sha256[%d]", field, j), "must be the 64 hex digits of a SHA-256")
+			}
+			c.differ(keys, fmt.Sprintf("%s.key_sha256[%d]", field, j), sum)
+		}
+		for j, text := range k.GetRanges() {
+			if _, err := netip.ParsePrefix(text); err != nil {
+				c.add(fmt.Sprintf("%s.ranges[%d]", field, j), "%q is no range such as 10.1.0.0/16", text)
+			}
+		}
+		if len(k.GetKeySha256())+len(k.GetRanges())+len(k.GetCertificates()) == 0 {
+			c.add(field, "has no key, range or certificate: nobody is this client")
+		}
+	}
+}
+
 func (c *checker) peers(r *pb.Router, at string) {
 	p := r.GetPeers()
 	if p == nil {
--- /dev/null
+++ b/internal/edge/admission.go
@@ -0,0 +1,116 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"cherryhub/internal/admit"
+	"cherryhub/internal/door"
+	"cherryhub/internal/engine"
+)
+
+// guest is the key of a call's door.Guest in its context.
+const guest = "guest"
+
+// guard has the door let a call in, before anything of it is read but its header.
+func (e *Edge) guard(ctx context.Context, rc *app.RequestContext) {
+	from := rc.GetConn().RemoteAddr()
+	g, v := e.o.Door.Call(from, bearer(rc))
+	defer e.o.Door.CallOver(from)
+	if !v.OK() {
+		setComeBack(rc, v.Wait)
+		e.o.Observe.Refused(v.Reason.Answer().Status)
+		e.hangUp(rc, refusedBy(v), lingerRefused)
+		rc.Abort()
+		return
+	}
+	if g.Last {
+		rc.SetConnectionClose()
+	}
+	if e.o.Door.Secure() {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		e.o.Door.WhenLeft(from, func() { cancel(engine.ErrCancelled) })
+	}
+	rc.Set(guest, g)
+	rc.Next(ctx)
+	if e.ending.Load() { // so that a client that keeps its connection goes elsewhere
+		rc.SetConnectionClose()
+	}
+}
+
+// lingerRefused is short: the place is wanted.
+const lingerRefused = 100 * time.Millisecond
+
+func refusedBy(v admit.Verdict) *apiError {
+	a := v.Reason.Answer()
+	return &apiError{status: a.Status, kind: a.Kind, code: a.Code, message: a.Message}
+}
+
+func bearer(rc *app.RequestContext) string {
+	key, given := strings.CutPrefix(string(rc.Request.Header.Peek("Authorization")), "Bearer ")
+	if !given {
+		return ""
+	}
+	return key
+}
+
+// tenant is who calls: as admission knows it, else by its key.
+func (e *Edge) tenant(rc *app.RequestContext) (int, *apiError) {
+	if g, there := rc.Get(guest); there {
+		if g := g.(door.Guest); g.Tenant >= 0 { //nolint:forcetypeassert // guard sets it
+			return g.Tenant, nil
+		}
+	}
+	return e.tenantOf(string(rc.Request.Header.Peek("Authorization")))
+}
+
+// early answers a completion that was rate-limited and comes back before its time, without asking the planner.
+// It is known by who sends it and by its content, so another completion of the same client is not judged by it.
+func (e *Edge) early(rc *app.RequestContext, body []byte) (uint64, *apiError) {
+	if e.o.Door == nil {
+		return 0, nil
+	}
+	var h xxhash.Digest
+	h.Reset()
+	h.Write(rc.Request.Header.Peek("Authorization"))   //nolint:errcheck // never fails
+	h.Write([]byte{0})                                 //nolint:errcheck // as above
+	h.Write(rc.Request.Header.Peek("Idempotency-Key")) //nolint:errcheck // as above
+	h.Write([]byte{0})                                 //nolint:errcheck // as above
+	if host, _, err := net.SplitHostPort(rc.GetConn().RemoteAddr().String()); err == nil {
+		h.WriteString(host) //nolint:errcheck // as above
+	}
+	h.Write(body) //nolint:errcheck // as above
+	key := h.Sum64()
+	if v := e.o.Door.Early(key); !v.OK() {
+		setComeBack(rc, v.Wait)
+		return 0, refusedBy(v)
+	}
+	return key, nil
+}
+
+// rateLimited remembers what a completion was told.
+func (e *Edge) rateLimited(key uint64, comeBack float64) {
+	if e.o.Door != nil && comeBack > 0 {
+		e.o.Door.RateLimited(key, time.Duration(comeBack*float64(time.Second)))
+	}
+}
+
+// take has the door let a completion in.
+func (e *Edge) take(rc *app.RequestContext) (over func(), bad *apiError) {
+	if e.o.Door == nil {
+		return func() {}, nil
+	}
+	over, v := e.o.Door.Take(rc.GetConn().RemoteAddr())
+	if !v.OK() {
+		setComeBack(rc, v.Wait)
+		return nil, refusedBy(v)
+	}
+	return over, nil
+}
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -23,6 +23,9 @@
 	key   string
 	trace string
 
+	over    func() // gives back what admission let it have; harmless again
+	returns uint64 // knows it again if it comes back before its time
+
 	won   atomic.Int32        // 0: open; n+1: dispatch n's answer is the client's; answered: it has another one
 	final chan link.Order     // the planner's final answer
 	begun chan *run           // the dispatch that won
@@ -239,6 +242,7 @@
 	c.mu.Unlock()
 	if over {
 		c.e.forget(c.id)
+		c.over()
 	}
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"cherryhub/decide"
@@ -35,7 +36,11 @@
 	}
 	var tenant, work int
 	if bad == nil {
-		tenant, bad = e.tenantOf(string(rc.Request.Header.Peek("Authorization")))
+		tenant, bad = e.tenant(rc)
+	}
+	var returns uint64
+	if bad == nil {
+		returns, bad = e.early(rc, body)
 	}
 	var ch *chat
 	if bad == nil {
@@ -62,8 +67,13 @@
 	if most == 0 {
 		most = w.Most
 	}
+	over, bad := e.take(rc)
+	if bad != nil {
+		e.refuse(rc, bad)
+		return
+	}
 	id := e.next.Add(1)
-	c := &completion{e: e, id: id, name: e.name(id), chat: ch, work: work,
+	c := &completion{e: e, id: id, name: e.name(id), chat: ch, work: work, over: over, returns: returns,
 		key: string(rc.Request.Header.Peek("Idempotency-Key")), trace: string(rc.Request.Header.Peek("Traceparent")),
 		final: make(chan link.Order, 1), begun: make(chan *run, 1), fault: make(chan *engine.Result, 1)}
 	if c.key == "" {
@@ -77,6 +87,7 @@
 		Prompt: &decide.Prompt{Workload: work, Tenant: tenant, Session: ch.session, Shared: ch.shared, SharedLen: ch.sharedLen,
 			Len: ch.prompt, MaxAnswer: float64(most)}}) {
 		e.forget(id)
+		over()
 		setComeBack(rc, e.o.ComeBack.Seconds())
 		e.refuse(rc, e.busy())
 		return
@@ -142,6 +153,7 @@
 func (c *completion) giveFinal(rc *app.RequestContext, o link.Order, deadline time.Time) Answer {
 	if o.Kind == link.RateLimit {
 		setComeBack(rc, o.ComeBack)
+		c.e.rateLimited(c.returns, o.ComeBack)
 		c.e.refuse(rc, &apiError{status: 429, kind: "requests", code: "rate_limit_exceeded",
 			message: "rate-limited: trying again is harmless"})
 		return RateLimited
@@ -200,6 +212,8 @@
 	h.Set("Cache-Control", "no-cache")
 	rc.Response.HijackWriter(resp.NewChunkedBodyWriter(&rc.Response, rc.GetWriter()))
 	var out []byte
+	var wrote float64
+	var waited time.Duration
 	for {
 		event, err := r.stream.Next()
 		switch {
@@ -217,9 +231,17 @@
 		default:
 			out = append(append(append(out, "data: "...), c.broken(r, err).body()...), "\n\n"...)
 		}
+		began := time.Now()
 		if _, fault := rc.Write(out); fault != nil || rc.Flush() != nil {
 			return Gone
 		}
+		// A client that reads a little now and then never waits past ClientWrite for one write. All its waits
+		// together are bounded too; without that it would hold an engine's place for the whole StreamMost.
+		wrote += float64(len(out))
+		waited += time.Since(began)
+		if e := c.e; e.o.ReadRate > 0 && waited.Seconds() > e.o.ClientWrite.Seconds()+wrote/e.o.ReadRate {
+			return Gone
+		}
 		out = out[:0]
 		switch {
 		case errors.Is(err, io.EOF):
@@ -312,7 +334,9 @@
 		message: fmt.Sprintf("the model %.100q does not exist here", model)}
 }
 
-// body reads the call's body, no more than is allowed.
+// body reads the call's body, no more than is allowed and not slower. A body may fall BodyWait behind BodyRate:
+// that guards against a client that holds a connection, and the memory of its body, by sending a byte now and
+// then. It harms one whose link is slower still.
 func (e *Edge) body(rc *app.RequestContext) ([]byte, *apiError) {
 	most := e.o.Limits.MaxBodyBytes
 	tooLarge := &apiError{status: 413, kind: "invalid_request_error", code: "body_too_large",
@@ -325,25 +349,47 @@
 	}
 	var buf bytes.Buffer
 	if n := rc.Request.Header.ContentLength(); n > 0 {
-		buf.Grow(n + bytes.MinRead)
+		buf.Grow(min(n, bodyAhead) + bytes.MinRead)
 	}
-	n, err := buf.ReadFrom(io.LimitReader(rc.RequestBodyStream(), int64(most)+1))
-	switch {
-	case n > int64(most):
-		return nil, tooLarge
-	case err != nil:
-		return nil, &apiError{status: 400, kind: "invalid_request_error", code: "body_broken", message: "the body ended early"}
+	began, stream, conn := time.Now(), rc.RequestBodyStream(), rc.GetConn()
+	if e.o.BodyWait > 0 {
+		defer conn.SetReadTimeout(e.o.Idle) //nolint:errcheck // of a connection that is closed
+	}
+	for chunk := make([]byte, 16<<10); ; {
+		if e.o.BodyWait > 0 {
+			left := e.o.BodyWait + time.Duration(float64(buf.Len())/e.o.BodyRate*float64(time.Second)) - time.Since(began)
+			if left <= 0 {
+				return nil, bodySlow
+			}
+			conn.SetReadTimeout(left) //nolint:errcheck // as above
+		}
+		n, err := stream.Read(chunk)
+		buf.Write(chunk[:n])
+		switch {
+		case buf.Len() > most:
+			return nil, tooLarge
+		case errors.Is(err, io.EOF):
+			return buf.Bytes(), nil
+		case err != nil && e.o.BodyWait > 0 && time.Since(began).Seconds() >= e.o.BodyWait.Seconds()+float64(buf.Len())/e.o.BodyRate:
+			return nil, bodySlow
+		case err != nil:
+			return nil, &apiError{status: 400, kind: "invalid_request_error", code: "body_broken", message: "the body ended early"}
+		}
 	}
-	return buf.Bytes(), nil
 }
 
+// bodyAhead is how much memory a body gets on its client's word alone, in bytes.
+const bodyAhead = 64 << 10
+
+var bodySlow = &apiError{status: 408, kind: "invalid_request_error", code: "body_timeout", message: "the call's body came too slowly"}
+
 // refuse answers with an error. An engine's own word (no kind) goes on as it is if it is JSON.
 func (e *Edge) refuse(rc *app.RequestContext, err *apiError) {
 	if err.status < 500 && err.status != 429 {
 		e.o.Observe.Refused(err.status)
 	}
-	if err.code == "body_too_large" || err.code == "body_broken" {
-		e.hangUp(rc, err)
+	if err.code == "body_too_large" || err.code == "body_broken" || err == bodySlow {
+		e.hangUp(rc, err, lingerFor)
 		return
 	}
 	rc.SetStatusCode(err.status)
@@ -353,14 +399,18 @@
 
 // hangUp answers a call whose body is not read to its end and closes the connection, after reading on for a
 // moment: closed with bytes unread the answer would be lost to a reset.
-func (e *Edge) hangUp(rc *app.RequestContext, err *apiError) {
+func (e *Edge) hangUp(rc *app.RequestContext, err *apiError, linger time.Duration) {
 	body := err.body()
 	conn := rc.GetConn()
-	fmt.Fprintf(connWriter{conn}, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		err.status, "Content Too Large", len(body), body)
-	conn.Flush()                       //nolint:errcheck // the connection is closed next
-	conn.SetReadTimeout(lingerFor / 4) //nolint:errcheck // as above
-	until := time.Now().Add(lingerFor)
+	var advice string
+	if s := rc.Response.Header.Get("Retry-After"); s != "" {
+		advice = "Retry-After: " + s + "\r\nRetry-After-Ms: " + rc.Response.Header.Get("Retry-After-Ms") + "\r\n"
+	}
+	fmt.Fprintf(connWriter{conn}, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%sConnection: close\r\n\r\n%s",
+		err.status, consts.StatusMessage(err.status), len(body), advice, body)
+	conn.Flush()                    //nolint:errcheck // the connection is closed next
+	conn.SetReadTimeout(linger / 4) //nolint:errcheck // as above
+	until := time.Now().Add(linger)
 	for left := lingerMost; left > 0 && time.Now().Before(until); {
 		if _, fault := conn.Peek(1); fault != nil {
 			break
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,7 +37,7 @@
 // errTruncated is a stream that ended before its final event.
 var errTruncated = errors.New("stream ended before [DONE]")
 
-// Options of a client. All must be given but SourceAddress.
+// Options of a client. All must be given but SourceAddress and MaxConns.
 type Options struct {
 	ConnectTimeout time.Duration
 	ProbeTimeout   time.Duration
@@ -45,6 +45,7 @@
 	StreamIdle     time.Duration // the longest time between two tokens
 	MaxEventBytes  int           // of one event of a stream, of a read's answer and of an error's body
 	SourceAddress  string        // dial from this address, empty for any
+	MaxConns       int           // open at once to all engines, 0 for no bound
 	Figures        Figures       // where load reports are found
 }
 
@@ -68,11 +69,17 @@
 		}
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return &Client{o: o, http: &http.Client{
-		Transport: &http.Transport{DialContext: d.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 512,
+	c := &Client{o: o}
+	dial := d.DialContext
+	if o.MaxConns > 0 {
+		dial = newDialer(o.MaxConns, d.DialContext, c.Close).dial
+	}
+	c.http = &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 512,
 			IdleConnTimeout: o.IdleConn, MaxResponseHeaderBytes: maxHeaderBytes, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}, nil
+	}
+	return c, nil
 }
 
 // Close drops idle connections.
@@ -162,7 +169,7 @@
 		return decide.Cancelled
 	}
 	var op *net.OpError
-	dial := errors.As(err, &op) && op.Op == "dial"
+	dial := errors.As(err, &op) && op.Op == "dial" || errors.Is(err, errNoConns)
 	switch {
 	case errors.Is(err, errMalformed):
 		return decide.Errored
@@ -181,7 +188,7 @@
 
 // isLocal tells whether a dial failed for want of descriptors or ports here: no fault of the engine.
 func isLocal(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+	return errors.Is(err, errNoConns) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
 // Read has a reader read the prompt and hold its state.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,8 +17,11 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/net/netutil"
 
+	"cherryhub/internal/admit"
 	"cherryhub/internal/config"
+	"cherryhub/internal/door"
 	"cherryhub/internal/duty"
 	"cherryhub/internal/edge"
 	"cherryhub/internal/engine"
@@ -45,12 +48,20 @@
 	parts    sync.WaitGroup
 	fault    chan error
 	peer     *peer.Peer // nil where this router talks to none
+	door     *door.Door // nil where everybody is let in
+	divided  admit.Descriptors
 }
 
 // Start starts a router; its settings must have been checked. It serves until Stop.
 func Start(r *pb.Router, log *slog.Logger) (*Router, error) {
 	log = log.With("router", r.GetName())
-	client, err := engine.NewClient(config.Engine(r))
+	limits, err := letIn(r)
+	if err != nil {
+		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
+	}
+	co := config.Engine(r)
+	co.MaxConns = limits.divided.Engines
+	client, err := engine.NewClient(co)
 	if err != nil {
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 	}
@@ -65,7 +76,11 @@
 	metrics := telemetry.NewMetrics(names)
 	eo := config.Edge(r)
 	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
-	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3)}
+	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), divided: limits.divided}
+	if one.door, err = limits.door(r, ln, log); err != nil {
+		return nil, errors.Join(fmt.Errorf("router %s: %w", r.GetName(), err), ln.Close())
+	}
+	eo.Door = one.door
 	l := r.GetList()
 	follower := fleet.New(fleet.Options{URL: l.GetUrl(), File: l.GetFile(), Poll: config.Seconds(l.GetPollS()), Ask: l.GetAsk(),
 		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: one.listed, Log: log})
@@ -83,6 +98,10 @@
 	e := edge.New(eo)
 	po := config.Planner(r)
 	po.Log, po.Delay = log, metrics.Delay
+	if one.door != nil {
+		po.MaxCompletions = min(po.MaxCompletions, limits.divided.Completions)
+		metrics.WatchDoor(one.door)
+	}
 	p, err := planner.New(config.Decide(r), po, e)
 	if err != nil {
 		ln.Close() //nolint:errcheck // it was never used
@@ -108,6 +127,9 @@
 			}
 		})
 	}
+	if file := r.GetAdmissionFile(); file != "" && one.door != nil {
+		one.parts.Go(func() { one.followAdmission(ctx, file) })
+	}
 	go func() {
 		if err := e.Serve(); err != nil && ctx.Err() == nil {
 			one.fault <- err
@@ -156,6 +178,9 @@
 	r.end()
 	r.parts.Wait()
 	r.client.Close()
+	if r.door != nil {
+		err = errors.Join(err, r.door.End())
+	}
 	if r.admin != nil {
 		err = errors.Join(err, r.admin.Close())
 	}
@@ -171,6 +196,7 @@
 	if err != nil {
 		return fmt.Errorf("router %s: listen for admin: %w", r.settings.GetName(), err)
 	}
+	ln = netutil.LimitListener(ln, int(r.settings.GetDescriptors().GetAdmin()))
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(r.Metrics.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
@@ -181,9 +207,10 @@
 	})
 	mux.HandleFunc("GET /peers", func(w http.ResponseWriter, _ *http.Request) { r.tell(w, r.peers()) })
 	mux.HandleFunc("GET /duties", func(w http.ResponseWriter, _ *http.Request) { r.tell(w, r.duties()) })
+	mux.HandleFunc("GET /admission", func(w http.ResponseWriter, _ *http.Request) { r.tell(w, r.admission()) })
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	r.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	r.admin = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, IdleTimeout: 30 * time.Second}
 	go func() {
 		if err := r.admin.Serve(ln); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			r.fault <- fmt.Errorf("admin: %w", err)
--- /dev/null
+++ b/internal/telemetry/admission.go
@@ -0,0 +1,58 @@
+package telemetry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cherryhub/internal/admit"
+)
+
+// Door is what is asked of a door.
+type Door interface {
+	Figures(top int) (admit.Figures, []admit.Holder)
+}
+
+// doorFigures collects a door's figures when they are asked for.
+type doorFigures struct {
+	door                                   Door
+	refused, ended, let, used, most, addrs *prometheus.Desc
+}
+
+// WatchDoor adds the figures of a door.
+func (m *Metrics) WatchDoor(d Door) {
+	desc := func(name, help string, labels ...string) *prometheus.Desc {
+		return prometheus.NewDesc("cherryhub_admission_"+name, help, labels, nil)
+	}
+	m.Registry.MustRegister(&doorFigures{d,
+		desc("refused_total", "Connections, calls and completions refused, by reason.", "reason"),
+		desc("ended_total", "Connections without a call that were ended, by reason.", "reason"),
+		desc("let_in_total", "Connections let in."),
+		desc("used", "Places in use, by room.", "room"),
+		desc("most", "Places there are, by room.", "room"),
+		desc("addresses", "Addresses not known that hold something.")})
+}
+
+// Describe is of prometheus.Collector.
+func (d *doorFigures) Describe(to chan<- *prometheus.Desc) {
+	for _, one := range []*prometheus.Desc{d.refused, d.ended, d.let, d.used, d.most, d.addrs} {
+		to <- one
+	}
+}
+
+// Collect is of prometheus.Collector.
+func (d *doorFigures) Collect(to chan<- prometheus.Metric) {
+	f, _ := d.door.Figures(0)
+	for r := admit.Reason(1); int(r) < admit.Reasons; r++ {
+		to <- prometheus.MustNewConstMetric(d.refused, prometheus.CounterValue, float64(f.Refused[r]), r.String())
+		to <- prometheus.MustNewConstMetric(d.ended, prometheus.CounterValue, float64(f.Ended[r]), r.String())
+	}
+	to <- prometheus.MustNewConstMetric(d.let, prometheus.CounterValue, float64(f.Let))
+	for _, room := range []struct {
+		name       string
+		used, most int
+	}{{"common", f.Common, f.CommonMost}, {"reserve", f.Connections - f.Common - f.Anteroom, f.Reserve}, {"anteroom", f.Anteroom, f.AnteroomMost},
+		{"completions", f.Completions, f.CompletionsMost}} {
+		to <- prometheus.MustNewConstMetric(d.used, prometheus.GaugeValue, float64(room.used), room.name)
+		to <- prometheus.MustNewConstMetric(d.most, prometheus.GaugeValue, float64(room.most), room.name)
+	}
+	to <- prometheus.MustNewConstMetric(d.addrs, prometheus.GaugeValue, float64(f.Addresses))
+}
