--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -399,7 +399,7 @@
 // Last tells whether a connection is to be closed after its call.
 func (g *Gate) Last(id Conn) bool {
 	c := g.find(id)
-	return c == nil || c.last || c.place == leaving
+	return c == nil || c.last || c.place == leaving || g.holders[c.holder].gone
 }
 
 // become makes a connection another holder's. If it may not be, it stays what it was until it has its refusal.
--- a/internal/admit/figures.go
+++ b/internal/admit/figures.go
@@ -43,8 +43,8 @@
 		if !h.used || h.open+h.waiting+h.taken == 0 {
 			continue
 		}
-		one := Holder{h.name, h.client != Unknown, h.open, h.waiting, h.taken}
-		if !one.Known {
+		one := Holder{h.name, h.client != Unknown && !h.gone, h.open, h.waiting, h.taken}
+		if h.client == Unknown {
 			one.Name = h.address.String()
 		}
 		all = append(all, one)
--- a/internal/admit/main_test.go
+++ b/internal/admit/main_test.go
@@ -8,8 +8,10 @@
 
 // The random steps are the same each time unless -rapid.seed says otherwise, so that CI's verdict is too.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261201"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.checks": "1000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -350,18 +350,13 @@
 	}
 }
 
-// Guest is what is known of who calls.
-type Guest struct {
-	Tenant int  // for the edge, -1 where it is not known
-	Last   bool // the connection is to be closed after this call
-}
-
-// Call begins a call of a connection whose header was read; key is its API key, empty for none. Unless the
-// connection is not of a door, CallOver must follow. A call that is refused must be answered and closed.
-func (d *Door) Call(from net.Addr, key string) (Guest, admit.Verdict) {
+// Call begins a call of a connection whose header was read; key is its API key, empty for none.
+// CallOver must follow. A call that is refused must be answered and its connection closed. tenant is the caller's
+// for the edge, -1 where it is not known.
+func (d *Door) Call(from net.Addr, key string) (tenant int, v admit.Verdict) {
 	c, mine := from.(*Conn)
 	if !mine {
-		return Guest{Tenant: -1}, admit.Verdict{}
+		return -1, admit.Verdict{}
 	}
 	d.mu.Lock()
 	book := d.rules.book
@@ -378,17 +373,28 @@
 	if client == admit.Unknown {
 		client = book.ByAddress(c.from.Addr())
 	}
-	v := d.gate.Call(d.now(), c.id, client)
+	v = d.gate.Call(d.now(), c.id, client)
 	c.called = true
-	g := Guest{Tenant: -1, Last: d.gate.Last(c.id)}
+	tenant = -1
 	if client != admit.Unknown && client < len(d.rules.tenants) {
-		g.Tenant = d.rules.tenants[client]
+		tenant = d.rules.tenants[client]
 	}
 	off := d.sendOff()
 	d.mu.Unlock()
 	c.calling.Store(true)
 	d.tellOff(off)
-	return g, v
+	return tenant, v
+}
+
+// Last tells whether a connection is to be closed after its call, which a reload may have changed during it.
+func (d *Door) Last(from net.Addr) bool {
+	c, mine := from.(*Conn)
+	if !mine {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Last(c.id)
 }
 
 // CallOver ends a call.
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -10,17 +10,16 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"cherryhub/internal/admit"
-	"cherryhub/internal/door"
 	"cherryhub/internal/engine"
 )
 
-// guest is the key of a call's door.Guest in its context.
-const guest = "guest"
+// knownTenant is the key of a call's tenant in its context, as the door knows it.
+const knownTenant = "tenant"
 
 // guard has the door let a call in, before anything of it is read but its header.
 func (e *Edge) guard(ctx context.Context, rc *app.RequestContext) {
 	from := rc.GetConn().RemoteAddr()
-	g, v := e.o.Door.Call(from, bearer(rc))
+	tenant, v := e.o.Door.Call(from, bearer(rc))
 	defer e.o.Door.CallOver(from)
 	if !v.OK() {
 		setComeBack(rc, v.Wait)
@@ -29,7 +28,7 @@
 		rc.Abort()
 		return
 	}
-	if g.Last {
+	if e.o.Door.Last(from) { // before a stream's header is written
 		rc.SetConnectionClose()
 	}
 	if e.o.Door.Secure() {
@@ -38,9 +37,9 @@
 		defer cancel(nil)
 		e.o.Door.WhenLeft(from, func() { cancel(engine.ErrCancelled) })
 	}
-	rc.Set(guest, g)
+	rc.Set(knownTenant, tenant)
 	rc.Next(ctx)
-	if e.ending.Load() { // so that a client that keeps its connection goes elsewhere
+	if e.ending.Load() || e.o.Door.Last(from) { // so that a client that keeps its connection goes elsewhere
 		rc.SetConnectionClose()
 	}
 }
@@ -63,9 +62,9 @@
 
 // tenant is who calls: as admission knows it, else by its key.
 func (e *Edge) tenant(rc *app.RequestContext) (int, *apiError) {
-	if g, there := rc.Get(guest); there {
-		if g := g.(door.Guest); g.Tenant >= 0 { //nolint:forcetypeassert // guard sets it
-			return g.Tenant, nil
+	if e.o.Door != nil {
+		if t := rc.GetInt(knownTenant); t >= 0 {
+			return t, nil
 		}
 	}
 	return e.tenantOf(string(rc.Request.Header.Peek("Authorization")))
