--- a/internal/admit/take.go
+++ b/internal/admit/take.go
@@ -14,7 +14,7 @@
 	}
 	h := &g.holders[c.holder]
 	most, share := g.s.AddressCompletions, 0
-	if h.client != Unknown {
+	if h.client != Unknown && !h.gone {
 		most, share = g.s.ClientCompletions, g.completionShare()
 	}
 	if h.taken >= most || h.taken >= share && g.takenCommon >= g.completionsCommon() {
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -207,7 +207,7 @@
 func TestClientThatSendsWithoutEnd(t *testing.T) {
 	g := start(t, func(r *pb.Router, f *pb.Fleet) {
 		r.Limits = &pb.Limits{MaxBodyBytes: proto.Int32(4096), MaxHeaderBytes: proto.Int32(4096)}
-		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(200)
+		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(100000)
 	})
 	conn, err := net.Dial("tcp", g.Address())
 	require.NoError(t, err)
@@ -238,7 +238,7 @@
 		for _, e := range f.Engines {
 			e.Slots, e.Queue = proto.Int32(1), proto.Int32(0)
 		}
-		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(60)
+		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(100000)
 	})
 	var wait time.Duration
 	try := func(content string) (status int, code string) {
@@ -303,7 +303,7 @@
 	g := start(t, func(r *pb.Router, f *pb.Fleet) {
 		r.AdmissionFile = proto.String(file)
 		r.Tenants = []*pb.Tenant{{Name: proto.String("t"), Anonymous: proto.Bool(true), SharePerS: proto.Float64(1e5)}}
-		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(100), proto.Int32(70)
+		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(100), proto.Int32(100000)
 	})
 	var idle []net.Conn
 	for range 30 {
@@ -351,7 +351,7 @@
 // At a stop a client that keeps its connection is told to go elsewhere.
 func TestStopTellsConnectionsToClose(t *testing.T) {
 	g := start(t, func(_ *pb.Router, f *pb.Fleet) {
-		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(20)
+		f.Engines[1].TokenMs, f.Engines[1].MeanAnswerTokens = proto.Float64(50), proto.Int32(100000)
 	})
 	answer := make(chan *http.Response, 1)
 	go func() {
