--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 )
@@ -15,14 +16,22 @@
 // dialer keeps the connections to all engines within the descriptors that are kept for them. Where there is none
 // it has idle ones closed and waits, as long as the dial may last. It guards against running the process out of
 // descriptors, and against taking those of clients; it harms where one engine's dials wait for another's streams.
+//
+// Where the process has no descriptors all the same, whoever took them, a spare one makes way for one dial. Idle
+// connections don't: the one to a reader that holds a state is the way by which the state is let go.
 type dialer struct {
 	next  func(ctx context.Context, network, address string) (net.Conn, error)
 	drop  func() // closes idle connections
 	slots chan struct{}
+
+	mu    sync.Mutex
+	spare *os.File
 }
 
 func newDialer(most int, next func(ctx context.Context, network, address string) (net.Conn, error), drop func()) *dialer {
-	return &dialer{next: next, drop: drop, slots: make(chan struct{}, most)}
+	d := &dialer{next: next, drop: drop, slots: make(chan struct{}, most)}
+	d.renew()
+	return d
 }
 
 func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
@@ -37,25 +46,54 @@
 		}
 	}
 	conn, err := d.next(ctx, network, address)
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) { // others took them; an idle one of ours may do
-		d.drop()
+	if (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) && d.makeWay() {
 		conn, err = d.next(ctx, network, address)
 	}
+	d.renew()
 	if err != nil {
 		<-d.slots
 		return nil, err
 	}
-	return &counted{Conn: conn, free: sync.OnceFunc(func() { <-d.slots })}, nil
+	return &counted{Conn: conn, over: sync.OnceFunc(func() {
+		<-d.slots
+		d.renew()
+	})}, nil
+}
+
+// makeWay gives the spare descriptor up, and fails if there is none.
+func (d *dialer) makeWay() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.spare == nil {
+		return false
+	}
+	d.spare.Close() //nolint:errcheck // of /dev/null
+	d.spare = nil
+	return true
 }
 
+// renew takes a spare descriptor again where there is none.
+func (d *dialer) renew() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.spare == nil {
+		if f, err := os.Open(os.DevNull); err == nil {
+			d.spare = f
+		}
+	}
+}
+
+// close gives the spare descriptor back for good.
+func (d *dialer) close() { d.makeWay() }
+
 // counted gives its slot back once it is closed.
 type counted struct {
 	net.Conn
-	free func()
+	over func()
 }
 
 func (c *counted) Close() error {
 	err := c.Conn.Close()
-	c.free()
+	c.over()
 	return err
 }
--- /dev/null
+++ b/internal/engine/dial_test.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"context"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+)
+
+func TestDialsStayWithinTheirDescriptors(t *testing.T) {
+	dropped := 0
+	d := newDialer(2, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() { dropped++ })
+	defer d.close()
+	one, err := d.dial(t.Context(), "tcp", "x")
+	require.NoError(t, err)
+	_, err = d.dial(t.Context(), "tcp", "x")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = d.dial(ctx, "tcp", "x")
+	require.ErrorIs(t, err, errNoConns)
+	assert.Equal(t, 1, dropped, "idle ones were asked to go")
+	assert.Equal(t, decide.Moot, outcomeOf(t.Context(), err, false), "no fault of the engine")
+	assert.Equal(t, decide.Finished, ProbeOutcome(err))
+	time.AfterFunc(20*time.Millisecond, func() { one.Close(); one.Close() })
+	_, err = d.dial(t.Context(), "tcp", "x")
+	assert.NoError(t, err, "one became free")
+	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = d.dial(ctx, "tcp", "x")
+	assert.ErrorIs(t, err, errNoConns, "closed twice counts once")
+}
+
+func TestSpareMakesWayForADial(t *testing.T) {
+	tries, dropped := 0, 0
+	var d *dialer
+	d = newDialer(4, func(context.Context, string, string) (net.Conn, error) {
+		tries++
+		if d.spare != nil {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
+		}
+		a, _ := net.Pipe()
+		return a, nil
+	}, func() { dropped++ })
+	defer d.close()
+	_, err := d.dial(t.Context(), "tcp", "x")
+	require.NoError(t, err)
+	assert.Equal(t, 2, tries)
+	assert.Zero(t, dropped, "the ways to engines that hold states stay")
+	assert.NotNil(t, d.spare, "there is one again")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -51,8 +51,9 @@
 
 // Client makes dispatches. It is safe for concurrent use.
 type Client struct {
-	o    Options
-	http *http.Client
+	o      Options
+	http   *http.Client
+	dialer *dialer // nil where there is no bound
 }
 
 // maxHeaderBytes bounds an engine's answer header.
@@ -72,7 +73,8 @@
 	c := &Client{o: o}
 	dial := d.DialContext
 	if o.MaxConns > 0 {
-		dial = newDialer(o.MaxConns, d.DialContext, c.Close).dial
+		c.dialer = newDialer(o.MaxConns, d.DialContext, func() { c.http.CloseIdleConnections() })
+		dial = c.dialer.dial
 	}
 	c.http = &http.Client{
 		Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 512,
@@ -82,8 +84,13 @@
 	return c, nil
 }
 
-// Close drops idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+// Close drops idle connections. Dispatches that run go on.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+	if c.dialer != nil {
+		c.dialer.close()
+	}
+}
 
 // Call is one dispatch.
 type Call struct {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -74,6 +74,11 @@
 // end stops all and checks the rules from what the engines saw.
 func (g *rig) end() []*pb.Entry {
 	require.NoError(g.t, g.Stop())
+	return g.closeFleet()
+}
+
+// closeFleet is end where the router has ended already.
+func (g *rig) closeFleet() []*pb.Entry {
 	time.Sleep(600 * time.Millisecond) // past the limit of what is held
 	require.NoError(g.t, g.fleet.Close())
 	require.NoError(g.t, g.rec.Close())
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -381,6 +381,13 @@
 	return e.sleep(ctx, time.Until(until))
 }
 
+// Unread is how many tokens wait to be read.
+func (e *Engine) Unread() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.unread
+}
+
 // share is the share of its capacity that the engine has: a cold one warms up evenly.
 func (e *Engine) share() float64 {
 	c := e.fleet.settings.GetCold()
