--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"io"
 	"io/fs"
 	"log/slog"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +51,7 @@
 	rec   *record.Writer
 	buf   bytes.Buffer
 	url   string
+	http  *http.Client
 }
 
 func start(t *testing.T, change func(*pb.Router, *pb.Fleet)) *rig {
@@ -57,7 +61,7 @@
 	if change != nil {
 		change(r, f)
 	}
-	g := &rig{t: t}
+	g := &rig{t: t, http: http.DefaultClient}
 	g.rec = record.New(&g.buf, io.NopCloser(nil), &pb.Head{Workloads: r.GetWorkloads(), LetGoS: proto.Float64(r.GetLetGoS()),
 		DrainGraceS: proto.Float64(r.GetDrainGraceS()), Cold: r.GetCold(), ValueUnitTokens: proto.Float64(1000)})
 	var err error
@@ -67,6 +71,14 @@
 	g.Router, err = Start(r, slog.New(slog.DiscardHandler))
 	require.NoError(t, err)
 	g.url = "http://" + g.Address() + "/v1/"
+	if r.GetTls() != nil { // its clients trust who signs them
+		g.url = "https://" + g.Address() + "/v1/"
+		text, err := os.ReadFile(r.GetTls().GetClientCaFile())
+		require.NoError(t, err)
+		pool := x509.NewCertPool()
+		require.True(t, pool.AppendCertsFromPEM(text))
+		g.http = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	}
 	require.Eventually(t, func() bool { return g.finishes(`"x"`) }, 5*time.Second, 10*time.Millisecond, "the list is heard")
 	return g
 }
@@ -103,7 +115,7 @@
 	body := fmt.Sprintf(`{"model":%q,"messages":[{"role":"user","content":%s}]%s}`, model, content, more)
 	req, err := http.NewRequestWithContext(ctx, "POST", g.url+"chat/completions", strings.NewReader(body))
 	require.NoError(g.t, err)
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := g.http.Do(req)
 	if err != nil {
 		return 0, "", err
 	}
