A crowd measured; where each address holds one place, the oldest goes

A flood from ever new addresses would have ended the connection that came last, a known client's among them, before its header was there: holders with equal counts were taken last first. The test for it fails without the change.

--- a/cmd/cherryhub/bench.go
+++ b/cmd/cherryhub/bench.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"cherryhub/internal/bench"
+	"cherryhub/internal/door"
 )
 
 func benchCommand() *cobra.Command {
@@ -52,3 +53,33 @@
 	}
 	return c
 }
+
+func crowdCommand() *cobra.Command {
+	var o bench.CrowdOptions
+	c := &cobra.Command{Use: "crowd", Short: "Measure admission while everybody connects at once, with stand-in engines and clients", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+			defer stop()
+			var err error
+			if o.Self, err = os.Executable(); err != nil {
+				return fmt.Errorf("crowd: %w", err)
+			}
+			if _, err := door.RaiseLimit(); err != nil { // the flood's own
+				return err
+			}
+			o.Report = func(format string, a ...any) { fmt.Fprintf(os.Stderr, format+"\n", a...) }
+			report, err := bench.Crowd(ctx, o)
+			if err != nil {
+				return err
+			}
+			bench.PrintCrowd(os.Stdout, report)
+			return nil
+		}}
+	f := c.Flags()
+	f.DurationVar(&o.Length, "length", 5*time.Second, "length of one measurement")
+	f.IntVar(&o.Limit, "limit", 4096, "of the router's descriptors")
+	f.IntVar(&o.Flood, "flood", 8000, "connections that the flood has under way at once")
+	f.IntVar(&o.Known, "known", 100, "known clients")
+	f.IntVar(&o.Idle, "idle", 15000, "idle connections for memory, 0 for none")
+	return c
+}
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -413,6 +413,30 @@
 	assert.Positive(t, g.Figures().Ended[Anteroom]+g.Figures().Refused[Rate])
 }
 
+// A flood from ever new addresses holds each place in the anteroom as long as a known client's: that has as long
+// for its header as the anteroom takes to be filled anew.
+func TestKnownOneGetsThroughAFloodOfAddresses(t *testing.T) {
+	s := small()
+	s.Anteroom, s.Connections, s.Leaving = 64, 100, 200
+	g := gate(t, s, two)
+	for i := range 1000 {
+		g.Accept(0, addr(i), Unknown)
+		for _, e := range g.Evicted() {
+			g.Closed(e.Conn)
+		}
+	}
+	mine, v := g.Accept(0, addr(5000), Unknown)
+	require.True(t, v.OK())
+	for i := range s.Anteroom - 1 {
+		g.Accept(0, addr(10000+i), Unknown)
+		for _, e := range g.Evicted() {
+			require.NotEqual(t, mine, e.Conn, "after %d", i)
+			g.Closed(e.Conn)
+		}
+	}
+	assert.True(t, g.Call(0, mine, 1).OK())
+}
+
 // A known client that floods eats its own share and no other's.
 func TestKnownOneFloods(t *testing.T) {
 	s := small()
--- a/internal/admit/lists.go
+++ b/internal/admit/lists.go
@@ -43,9 +43,10 @@
 }
 
 // ranks finds who holds the most: holders in lists by their count, so that a change by one costs the same
-// however many there are. A holder with count 0 is in none.
+// however many there are. A holder with count 0 is in none. Of several with the same count the one that has had it
+// longest comes first: where each address holds one, it is the oldest that goes, not the one that came just now.
 type ranks struct {
-	first   []int32 // by count
+	ends    [][2]int32 // by count: who came to it first, and last
 	most    int     // no holder has more
 	by      uint8
 	holders int // that hold anything, whether or not they are ranked
@@ -63,24 +64,28 @@
 		if p.prev >= 0 {
 			g.holders[p.prev].place[r.by].next = p.next
 		} else {
-			r.first[p.count] = p.next
+			r.ends[p.count][0] = p.next
 		}
 		if p.next >= 0 {
 			g.holders[p.next].place[r.by].prev = p.prev
+		} else {
+			r.ends[p.count][1] = p.prev
 		}
 	}
 	p.count = count
 	if count == 0 {
 		return
 	}
-	for len(r.first) <= count {
-		r.first = append(r.first, -1)
+	for len(r.ends) <= count {
+		r.ends = append(r.ends, [2]int32{-1, -1})
 	}
-	p.prev, p.next = -1, r.first[count]
-	if p.next >= 0 {
-		g.holders[p.next].place[r.by].prev = at
+	p.prev, p.next = r.ends[count][1], -1
+	if p.prev >= 0 {
+		g.holders[p.prev].place[r.by].next = at
+	} else {
+		r.ends[count][0] = at
 	}
-	r.first[count] = at
+	r.ends[count][1] = at
 	r.most = max(r.most, count)
 }
 
@@ -99,7 +104,7 @@
 // top is one of those with the greatest count, -1 if there is none.
 func (r *ranks) top() int32 {
 	for r.most > 0 {
-		if at := r.first[r.most]; at >= 0 {
+		if at := r.ends[r.most][0]; at >= 0 {
 			return at
 		}
 		r.most--
