--- a/internal/admit/lists.go
+++ b/internal/admit/lists.go
@@ -47,7 +47,7 @@
 // longest comes first: where each address holds one, it is the oldest that goes, not the one that came just now.
 type ranks struct {
 	ends    [][2]int32 // by count: who came to it first, and last
-	most    int     // no holder has more
+	most    int        // no holder has more
 	by      uint8
 	holders int // that hold anything, whether or not they are ranked
 }
