--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -158,11 +158,12 @@
 	lobby   ranks   // by listed
 	evicted []Evicted
 
-	common, known, anteroom, going int
-	taken, takenCommon             int
-	refused                        [reasons]uint64
-	ended                          [reasons]uint64
-	let                            uint64
+	draining                bool
+	common, anteroom, going int
+	taken, takenCommon      int
+	refused                 [reasons]uint64
+	ended                   [reasons]uint64
+	let                     uint64
 }
 
 // New makes a gate.
@@ -233,6 +234,9 @@
 // holds the most of it goes. That guards known clients against a flood by others; a known client behind the
 // address that floods competes with the flood for the anteroom.
 func (g *Gate) Accept(now float64, from netip.Addr, client int) (Conn, Verdict) {
+	if g.draining {
+		return g.refuse(Verdict{Reason: Stopping})
+	}
 	address := g.mask(from)
 	if client != Unknown {
 		h := g.clients[client]
@@ -399,7 +403,7 @@
 // Last tells whether a connection is to be closed after its call.
 func (g *Gate) Last(id Conn) bool {
 	c := g.find(id)
-	return c == nil || c.last || c.place == leaving || g.holders[c.holder].gone
+	return c == nil || c.last || c.place == leaving || g.draining || g.holders[c.holder].gone
 }
 
 // become makes a connection another holder's. If it may not be, it stays what it was until it has its refusal.
@@ -467,6 +471,11 @@
 // Due ends what has waited too long, and tells when it is to be called again at the latest.
 func (g *Gate) Due(now float64) (next float64) {
 	next = math.Inf(1)
+	for i := range g.times {
+		for g.draining && g.times[i].head >= 0 && g.going < g.s.Leaving {
+			g.evict(g.times[i].head, Stopping)
+		}
+	}
 	for i, most := range [...]float64{g.s.AnteroomTime, g.s.HeaderTime, g.s.IdleTime} {
 		for g.times[i].head >= 0 && g.going < g.s.Leaving {
 			slot := g.times[i].head
@@ -487,6 +496,9 @@
 	return next
 }
 
+// Drain lets nobody in any more. Connections without a call go with the next Due, others after their call.
+func (g *Gate) Drain() { g.draining = true }
+
 // enter gives a connection a place.
 func (g *Gate) enter(now float64, at int32, place uint8, known bool) Conn {
 	var slot int32
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -670,6 +670,31 @@
 	assert.Equal(t, Idle, g.Call(105, good, Unknown).Reason, "a call that crossed is refused, not taken")
 }
 
+func TestDrain(t *testing.T) {
+	s := small()
+	s.Leaving = 1
+	g := gate(t, s, two)
+	busy, _ := g.Accept(0, addr(1), Unknown)
+	require.True(t, g.Call(0, busy, 0).OK())
+	var others []Conn
+	for i := range 3 {
+		id, _ := g.Accept(0, addr(2+i), Unknown)
+		others = append(others, id)
+	}
+	g.Drain()
+	for _, id := range others { // no more at once than may leave
+		g.Due(1)
+		require.Equal(t, []Evicted{{id, Stopping}}, g.Evicted())
+		g.Closed(id)
+	}
+	_, v := g.Accept(1, addr(9), 1)
+	assert.Equal(t, Stopping, v.Reason)
+	assert.True(t, g.Last(busy))
+	g.CallOver(1, busy)
+	g.Due(1)
+	assert.Equal(t, []Evicted{{busy, Stopping}}, g.Evicted())
+}
+
 func TestCallsOfAConnection(t *testing.T) {
 	s := small()
 	s.Calls = 2
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -117,15 +117,16 @@
 		MaxEventBytes: int(r.GetLimits().GetMaxEventBytes()), SourceAddress: r.GetSourceAddress(), Figures: figures(r.GetReports())}
 }
 
-// Edge are the edge's options; listener, engines, log and observer are the caller's to add.
-func Edge(r *pb.Router) edge.Options {
+// Edge are the edge's options; listener, engines, log and observer are the caller's to add. a is the router's own
+// admission or that of its file.
+func Edge(r *pb.Router, a *pb.Admission) edge.Options {
 	l, t, id := r.GetLimits(), r.GetTiming(), r.GetIdentity()
 	o := edge.Options{
 		Limits: edge.Limits{MaxBodyBytes: int(l.GetMaxBodyBytes()), MaxHeaderBytes: int(l.GetMaxHeaderBytes()),
 			MaxDepth: int(l.GetMaxDepth()), MaxMessages: int(l.GetMaxMessages()), MaxAnswerBytes: int(l.GetMaxAnswerBytes())},
 		Identity: edge.Identity{SessionFrom: id.GetSessionFrom(), SharedFromLeading: id.GetSharedFromLeading(),
 			BytesPerToken: id.GetBytesPerToken()},
-		BodyWait: Seconds(r.GetAdmission().GetBodyWaitS()), BodyRate: r.GetAdmission().GetBodyBytesPerS(), ReadRate: r.GetAdmission().GetReadBytesPerS(),
+		BodyWait: Seconds(a.GetBodyWaitS()), BodyRate: a.GetBodyBytesPerS(), ReadRate: a.GetReadBytesPerS(),
 		Margin: ms(t.GetAnswerMarginMs()), LetGo: Seconds(r.GetLetGoS()), StreamMost: Seconds(t.GetStreamMostS()),
 		ClientWrite: Seconds(t.GetClientWriteS()), Idle: Seconds(t.GetIdleS()), ComeBack: Seconds(r.GetAllowed().GetMaxComeBackS()),
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -201,6 +201,9 @@
 func Effective[M proto.Message](m M) M {
 	whole := proto.Clone(m).(M)
 	fill(whole.ProtoReflect())
+	if r, is := any(whole).(*pb.Router); is && r.GetAdmissionFile() != "" && any(m).(*pb.Router).Admission == nil { //nolint:forcetypeassert // the same type
+		r.Admission = nil // the file has it
+	}
 	return whole
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"io/fs"
 	"path"
 	"strings"
@@ -47,6 +48,13 @@
 		"margin under ticks":   {good + `timing { answer_margin_ms: 10 }`, "f:4: timing.answer_margin_ms: 10 is under four ticks"},
 		"source no IP":         {good + `source_address: "host"`, "f:4: source_address: \"host\" is no IP address"},
 		"an unknown enum name": {good + "workloads { name: \"b\" effect: TWICE }", "f:4: "},
+		"a client of nobody":   {good + `admission { clients { name: "a" } }`, "f:4: admission.clients[0]: has no key, range or certificate"},
+		"a client twice":       {good + `admission { clients { name: "a" ranges: "10.0.0.0/8" } clients { name: "a" ranges: "10.0.0.0/8" } }`, "is there twice"},
+		"no range":             {good + `admission { clients { name: "a" ranges: "10.0.0.0" } }`, "f:4: admission.clients[0].ranges[0]: \"10.0.0.0\" is no range"},
+		"a client's key":       {good + `admission { clients { name: "a" key_sha256: "ab" } }`, "admission.clients[0].key_sha256[0]: must be the 64 hex digits"},
+		"its tenant":           {good + `admission { clients { name: "a" ranges: "10.0.0.0/8" tenant: "x" } }`, "admission.clients[0].tenant: \"x\" is none of tenants"},
+		"admission twice":      {good + `admission { off: true } admission_file: "x"`, "admission_file: is there besides admission"},
+		"no key file":          {good + `tls { certificate_file: "x" }`, "f:4: tls.key_file: is missing"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			assert.ErrorContains(t, Parse("f", []byte(c.text), &pb.Router{}), c.says)
@@ -143,8 +151,41 @@
 		}
 		_, err := decide.New(Decide(r), nil)
 		require.NoError(t, err)
-		Edge(r)
+		Edge(r, r.GetAdmission())
 		Engine(r)
 		Planner(r)
 	})
 }
+
+func TestRules(t *testing.T) {
+	sum := strings.Repeat("ab", 32)
+	r := &pb.Router{}
+	require.NoError(t, Parse("f", []byte(good+fmt.Sprintf(`tenants { name: "t" key_sha256: %q } tenants { name: "all" anonymous: true }
+admission { clients { name: "office" tenant: "t" ranges: "10.1.0.0/16" } clients { name: "guest" certificates: "g.example" } }`, sum)), r))
+	rules, d, err := Rules(r, r.GetAdmission(), 20000)
+	require.NoError(t, err)
+	assert.Equal(t, 20000, d.Own+d.Admin+d.Peers+d.Connections+d.Leaving+d.Engines)
+	s := rules.Settings
+	assert.Equal(t, d.Connections, s.Connections)
+	assert.Equal(t, d.Completions, s.Completions)
+	assert.Less(t, s.Reserve+s.Anteroom, s.Connections)
+	assert.Positive(t, s.ReserveCompletions)
+	var names []string
+	for _, c := range rules.Clients {
+		names = append(names, c.Name)
+	}
+	assert.Equal(t, []string{"t", "office", "guest"}, names)
+	assert.Equal(t, []int{0, 0, -1}, rules.Tenants)
+
+	for _, limit := range []int{256, 1024, 4096, 1 << 20} { // the defaults fit whatever a machine gives
+		_, d, err := Rules(r, nil, limit)
+		require.NoError(t, err, "%d", limit)
+		assert.Positive(t, d.Completions)
+	}
+	_, _, err = Rules(r, &pb.Admission{MaxConnections: proto.Int32(5000)}, 1024)
+	assert.ErrorContains(t, err, "1024 descriptors = 64 own + 32 admin + 0 peers + 5000 client connections")
+	assert.ErrorContains(t, err, "nothing is left for engines")
+
+	r.AdmissionFile, r.Admission = proto.String("x"), nil
+	assert.NoError(t, Parse("f", []byte(Text(Effective(r))), &pb.Router{}), "what is printed can be read")
+}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -212,6 +212,17 @@
 	return nil
 }
 
+// Drain refuses whoever comes, and has connections without a call go at once, others after their call. Without it
+// clients would find out that this router stops by a broken connection.
+func (d *Door) Drain() {
+	d.mu.Lock()
+	d.gate.Drain()
+	d.gate.Due(d.now())
+	off := d.sendOff()
+	d.mu.Unlock()
+	d.tellOff(off)
+}
+
 // Figures tells the totals, and who holds the most.
 func (d *Door) Figures(top int) (admit.Figures, []admit.Holder) {
 	d.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -216,6 +216,9 @@
 // waits for states to be released.
 func (e *Edge) Stop(ctx context.Context) error {
 	e.ending.Store(true)
+	if e.o.Door != nil {
+		e.o.Door.Drain()
+	}
 	e.await(ctx, func() bool { return e.active.Load() == 0 })
 	e.end(engine.ErrCancelled)
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLast)
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -362,8 +362,36 @@
 		}
 	}()
 	require.Eventually(t, func() bool { n, _ := g.Edge.Active(); return n == 1 }, 2*time.Second, time.Millisecond)
+	idle, err := net.Dial("tcp", g.Address())
+	require.NoError(t, err)
+	defer idle.Close()
+	fmt.Fprint(idle, "GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err = http.ReadResponse(bufio.NewReader(idle), nil)
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() {
+		idle.SetReadDeadline(time.Now().Add(500 * time.Millisecond)) // the completion takes a second
+		_, err := io.ReadAll(idle)
+		ended <- err
+	}()
 	g.end()
+	assert.NoError(t, <-ended, "an idle connection goes at once")
 	resp := <-answer
 	assert.Equal(t, 200, resp.StatusCode)
 	assert.True(t, resp.Close)
 }
+
+// Two hundred honest clients behind one address that nobody knows are all served by the defaults.
+func TestManyBehindOneAddress(t *testing.T) {
+	g := start(t, func(_ *pb.Router, f *pb.Fleet) {
+		f.Engines[1].Count, f.Engines[1].Slots, f.Engines[1].TokenMs = proto.Int32(4), proto.Int32(200), proto.Float64(1)
+	})
+	r := crowd.Run(t.Context(), crowd.Options{Target: g.Address(), Model: "m", Length: 10 * time.Second, Known: make([]string, 200), KnownFrom: froms(11, 1)})
+	times, failed := r.KnownTimes()
+	assert.Zero(t, failed)
+	assert.Len(t, r.Known, 200)
+	assert.Less(t, times.Max(), int64(2_000_000), "µs")
+	f, _ := g.door.Figures(0)
+	assert.Zero(t, f.Refused[admit.Rate]+f.Refused[admit.Share]+f.Refused[admit.Full])
+	g.end()
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,7 +74,7 @@
 		names = append(names, w.GetName())
 	}
 	metrics := telemetry.NewMetrics(names)
-	eo := config.Edge(r)
+	eo := config.Edge(r, limits.settings)
 	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
 	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), divided: limits.divided}
 	if one.door, err = limits.door(r, ln, log); err != nil {
