Several spare descriptors; no pause of a second where others take them

Under the race detector the flood's test saw five connections in two seconds: another part of the process was quicker at the one spare descriptor, and netpoll's way without it is to try again after up to a second.

Four spare ones, tried again at each wake, 2 ms of waiting without them.

--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -42,6 +43,7 @@
 	Flood    int           // connections that the flood has under way at once
 	Manners  []Manner      // in turn; none: all three
 	Length   time.Duration // of the flood
+	Least    int           // connections that it tries, however long that takes, up to five times Length
 	Patience time.Duration // a connection of the flood with no end by then hung
 
 	Known     []string      // keys of the known clients
@@ -132,8 +134,19 @@
 		r.Flood[m] = newEnds()
 	}
 	began := time.Now()
-	ctx, stop := context.WithTimeout(ctx, o.Length)
+	ctx, stop := context.WithTimeout(ctx, 5*o.Length)
 	defer stop()
+	var tried atomic.Int64
+	go func() {
+		for time.Since(began) < o.Length || tried.Load() < int64(o.Least) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(time.Millisecond):
+			}
+		}
+		stop()
+	}()
 	var all sync.WaitGroup
 	var mu sync.Mutex
 	for i := range o.Flood {
@@ -144,6 +157,7 @@
 				if ctx.Err() != nil && one.cut {
 					return // it was ended with the flood: nothing is known of it
 				}
+				tried.Add(1)
 				mu.Lock()
 				one.count(r.Flood[m])
 				mu.Unlock()
--- a/internal/door/descriptors.go
+++ b/internal/door/descriptors.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"sync"
@@ -30,76 +31,94 @@
 // limitMost is where a limit is as good as none.
 const limitMost = 1 << 20
 
-// spare is a descriptor kept for the moment in which there is none: it is closed, the connection accepted in its
-// place is refused and closed, and it is opened again.
+// spare is some descriptors kept for the moment in which there is none: one is closed, the connection accepted in
+// its place is refused and closed, and it is opened again. Whoever else waits for a descriptor may be quicker, so
+// there are some.
 type spare struct {
-	mu sync.Mutex
-	f  *os.File
+	mu    sync.Mutex
+	files []*os.File
 }
 
+const spares = 4
+
 func newSpare() (*spare, error) {
-	f, err := os.Open(os.DevNull)
-	return &spare{f: f}, err
+	s := &spare{}
+	s.fill()
+	if len(s.files) == 0 {
+		return nil, fmt.Errorf("none can be opened: %w", unix.EMFILE)
+	}
+	return s, nil
 }
 
-// refuse accepts one connection at a listener in the spare's place and refuses it. It fails if there is no spare.
-func (s *spare) refuse(listener int) bool {
+// refuse accepts one connection at a listener in a spare one's place and refuses it. Where there is none left it
+// waits a moment: the listener stays readable and would have the poller spin. That slows the streams that share
+// the poller, which is why it is short.
+func (s *spare) refuse(listener int) (refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.f == nil {
+	s.fill()
+	defer s.fill()
+	n := len(s.files)
+	if n == 0 {
+		time.Sleep(spareWait)
 		return false
 	}
-	s.f.Close() //nolint:errcheck // of /dev/null
-	s.f = nil
+	s.files[n-1].Close() //nolint:errcheck // of /dev/null
+	s.files = s.files[:n-1]
 	fd, _, err := unix.Accept(listener)
-	if err == nil {
-		unix.SetNonblock(fd, true)                                                   //nolint:errcheck // it is read once
-		unix.Write(fd, refusal(admit.Verdict{Reason: admit.NoDescriptors, Wait: 1})) //nolint:errcheck // told as well as can be
-		unix.Shutdown(fd, unix.SHUT_WR)                                              //nolint:errcheck // as above
-		// It can't linger: the next one needs the spare. What the client sent so far is read, which in most
-		// cases is its whole call, so that the close is no reset.
-		var pause = spareLinger
-		var buf [4096]byte
-		for begun := time.Now(); time.Since(begun) < pause; {
-			n, err := unix.Read(fd, buf[:])
-			if n == 0 || err != nil && err != unix.EAGAIN {
-				break
-			}
-			if err == unix.EAGAIN {
-				time.Sleep(pause / 10)
-			}
+	if err != nil {
+		return false
+	}
+	unix.SetNonblock(fd, true)                                                   //nolint:errcheck // it is read once
+	unix.Write(fd, refusal(admit.Verdict{Reason: admit.NoDescriptors, Wait: 1})) //nolint:errcheck // told as well as can be
+	unix.Shutdown(fd, unix.SHUT_WR)                                              //nolint:errcheck // as above
+	// It can't linger: the next one needs the spare. What the client sent so far is read, which in most cases is
+	// its whole call, so that the close is no reset.
+	var buf [4096]byte
+	for begun := time.Now(); time.Since(begun) < spareLinger; {
+		n, err := unix.Read(fd, buf[:])
+		if n == 0 || err != nil && err != unix.EAGAIN {
+			break
+		}
+		if err == unix.EAGAIN {
+			time.Sleep(spareLinger / 10)
 		}
-		unix.Close(fd) //nolint:errcheck // done with it
 	}
-	s.open()
+	unix.Close(fd) //nolint:errcheck // done with it
 	return true
 }
 
-// spareLinger is short: the poller waits.
-const spareLinger = time.Millisecond
+// Both are short: the poller waits.
+const (
+	spareLinger = time.Millisecond
+	spareWait   = 2 * time.Millisecond
+)
 
-func (s *spare) open() {
-	if f, err := os.Open(os.DevNull); err == nil {
-		s.f = f
+func (s *spare) fill() {
+	for len(s.files) < spares {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			return
+		}
+		s.files = append(s.files, f)
 	}
 }
 
-// renew opens the spare again where another took its place.
+// renew opens spare ones again where others took their place.
 func (s *spare) renew() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.f == nil {
-		s.open()
-	}
+	s.fill()
 }
 
-func (s *spare) close() error {
+func (s *spare) close() (err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.f == nil {
-		return nil
+	for _, f := range s.files {
+		err = errors.Join(err, f.Close())
 	}
-	return s.f.Close()
+	s.files = nil
+	return err
 }
 
 // lingering holds refused connections until their clients have closed them or a time is over, and reads what
--- a/internal/door/tls.go
+++ b/internal/door/tls.go
@@ -92,18 +92,16 @@
 	}
 }
 
-// spare refuses one in the spare descriptor's place, or waits a moment for one.
+// spare refuses one in a spare descriptor's place, or waits a moment for one.
 func (t *tlsDoor) spare() {
 	raw, err := t.d.o.Listener.SyscallConn()
 	done := false
 	if err == nil {
 		raw.Control(func(fd uintptr) { done = t.d.spare.refuse(int(fd)) }) //nolint:errcheck // done says it
 	}
-	if !done {
-		time.Sleep(10 * time.Millisecond)
-		return
+	if done {
+		t.d.none.Add(1)
 	}
-	t.d.none.Add(1)
 }
 
 func (t *tlsDoor) came(ctx context.Context, conn *net.TCPConn) {
