--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -347,30 +348,30 @@
 	if !rc.Request.IsBodyStream() {
 		return rc.Request.Body(), nil
 	}
-	var buf bytes.Buffer
-	if n := rc.Request.Header.ContentLength(); n > 0 {
-		buf.Grow(min(n, bodyAhead) + bytes.MinRead)
-	}
+	body := make([]byte, 0, max(0, min(rc.Request.Header.ContentLength(), bodyAhead))+bytes.MinRead)
 	began, stream, conn := time.Now(), rc.RequestBodyStream(), rc.GetConn()
 	if e.o.BodyWait > 0 {
 		defer conn.SetReadTimeout(e.o.Idle) //nolint:errcheck // of a connection that is closed
 	}
-	for chunk := make([]byte, 16<<10); ; {
+	for {
 		if e.o.BodyWait > 0 {
-			left := e.o.BodyWait + time.Duration(float64(buf.Len())/e.o.BodyRate*float64(time.Second)) - time.Since(began)
+			left := e.o.BodyWait + time.Duration(float64(len(body))/e.o.BodyRate*float64(time.Second)) - time.Since(began)
 			if left <= 0 {
 				return nil, bodySlow
 			}
 			conn.SetReadTimeout(left) //nolint:errcheck // as above
 		}
-		n, err := stream.Read(chunk)
-		buf.Write(chunk[:n])
+		if cap(body)-len(body) < bytes.MinRead {
+			body = slices.Grow(body, max(len(body), bytes.MinRead))
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
 		switch {
-		case buf.Len() > most:
+		case len(body) > most:
 			return nil, tooLarge
 		case errors.Is(err, io.EOF):
-			return buf.Bytes(), nil
-		case err != nil && e.o.BodyWait > 0 && time.Since(began).Seconds() >= e.o.BodyWait.Seconds()+float64(buf.Len())/e.o.BodyRate:
+			return body, nil
+		case err != nil && e.o.BodyWait > 0 && time.Since(began).Seconds() >= e.o.BodyWait.Seconds()+float64(len(body))/e.o.BodyRate:
 			return nil, bodySlow
 		case err != nil:
 			return nil, &apiError{status: 400, kind: "invalid_request_error", code: "body_broken", message: "the body ended early"}
