--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,85 @@
+package lab
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+	"cherryhub/internal/emulate"
+)
+
+func day(rate float64) Settings {
+	m := emulate.Model{Slots: 16, Queue: 32, BlockTokens: 16, Blocks: 6000, StepTokens: 1024, StepBase: 0.006, ReadToken: 0.00005, WriteToken: 0.0004,
+		ContextToken: 1e-7, StartShare: 1}
+	return Settings{Seed: 1, Length: 20, Routers: 4, Way: 0.0005, Link: 300000,
+		Groups: []Group{{Role: decide.Reader, Count: 4, Model: m}, {Role: decide.Writer, Count: 6, Model: m}},
+		Loads: []Load{
+			{Rate: rate, Workload: 0, Prompt: 1500, Shared: 512, Answer: 60, Timeout: 6, MaxAnswer: 400, KeptTurns: 3, TurnsApart: 3, ValuePerToken: 3},
+			{Rate: rate, Workload: 1, Prompt: 200, Shared: 128, Answer: 40, Timeout: 8, MaxAnswer: 200, KeptTurns: 1, ValuePerToken: 1}},
+		Decide: decide.Settings{Workloads: []decide.Workload{{Target: 1, TargetPerToken: 0.0001, TokenTarget: 0.06, Value: 3, Effect: decide.Idempotent},
+			{Target: 1, TargetPerToken: 0.0001, TokenTarget: 0.06, Value: 1, Effect: decide.NonIdempotent}}, OverShare: 0.2, Probes: true, WritersRead: true,
+			Cancels: true, MaxDispatches: 4, MaxComeBack: 1, ColdShare: 0.3, Warm: 12, ColdMultiple: 2.5, Tick: 0.005, FarPrice: 0.05, CrossPrice: 0.01}}
+}
+
+func TestEveryCompletionHasOneFinalAnswer(t *testing.T) {
+	for _, rate := range []float64{5, 25, 100} {
+		r, err := Run(day(rate))
+		require.NoError(t, err)
+		t.Logf("rate %v: %+v, ttft p50 %v p99 %v µs, score %.3f", rate, *r, r.TTFT.ValueAtQuantile(50), r.TTFT.ValueAtQuantile(99), r.Score())
+		assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted)
+		assert.Zero(t, r.Open)
+		assert.Zero(t, r.Twice)
+	}
+}
+
+// TestAtSize tells how the cost grows; the size is the flags'.
+func TestAtSize(t *testing.T) {
+	s := day(2 * float64(*engines))
+	s.Routers, s.Length = *routers, *seconds
+	readers, writers := s.Groups[0], s.Groups[1]
+	s.Groups = nil
+	for cell := range *engines / 10 { // a cell of ten has a link of its own
+		readers.Cell, writers.Cell = cell, cell
+		s.Groups = append(s.Groups, readers, writers)
+	}
+	began := time.Now()
+	r, err := Run(s)
+	require.NoError(t, err)
+	took := time.Since(began).Seconds()
+	t.Logf("%d routers, %d engines, %v s: %.1f s, %d completions, %d events, %.0f events a second, score %.3f", *routers, *engines, *seconds, took,
+		r.Completions, r.Events, float64(r.Events)/took, r.Score())
+	assert.Zero(t, r.Open)
+}
+
+var (
+	routers = flag.Int("lab.routers", 10, "of TestAtSize")
+	engines = flag.Int("lab.engines", 20, "of TestAtSize")
+	seconds = flag.Float64("lab.seconds", 10, "of TestAtSize")
+)
+
+func TestLoadBendsTheScore(t *testing.T) {
+	calm, err := Run(day(5))
+	require.NoError(t, err)
+	full, err := Run(day(100))
+	require.NoError(t, err)
+	assert.Greater(t, calm.Score(), 0.95)
+	assert.Less(t, full.Score(), 0.8)
+	assert.Greater(t, full.TTFT.ValueAtQuantile(50), calm.TTFT.ValueAtQuantile(50))
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	one, err := Run(day(60))
+	require.NoError(t, err)
+	again, err := Run(day(60))
+	require.NoError(t, err)
+	assert.Equal(t, one, again)
+	other := day(60)
+	other.Seed = 2
+	two, err := Run(other)
+	require.NoError(t, err)
+	assert.NotEqual(t, one.Events, two.Events)
+}
