Troubles in virtual time: pauses, creeping deaths, cold returns, a site with its routers

internal/lab plays them: engines pause, slow, creep, die, drain; a zone's engines and routers drop out and return cold and knowing nothing; the list is late. Every completion has one final answer or was lost with its router.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,3 +84,48 @@
 	require.NoError(t, err)
 	assert.NotEqual(t, one.Events, two.Events)
 }
+
+// Sunday: boxes that pause without failing, a group that creeps to its death and returns cold, a site that drops out
+// with its routers.
+func TestTroubledDay(t *testing.T) {
+	s := day(25)
+	s.Length, s.Zones, s.ListLate = 40, 2, 0.2
+	for i := range s.Groups {
+		s.Groups[i].Model.StartShare, s.Groups[i].Model.Warm = 0.3, 5
+	}
+	far := slices.Clone(s.Groups)
+	for i := range far {
+		far[i].Zone, far[i].Cell = 1, 1
+	}
+	s.Groups = append(s.Groups, far...)
+	calm, err := Run(s)
+	require.NoError(t, err)
+	assert.Zero(t, calm.Lost)
+	s.Troubles = []Trouble{{Kind: Pause, At: 3, Length: 4, Group: 1, Count: 2}, {Kind: Creep, At: 8, Length: 8, Group: 3, Count: 3, Times: 20},
+		{Kind: Die, At: 10, Length: 5, Group: 0, First: 1, Count: 2}, {Kind: Drained, At: 12, Length: 6, Group: 1, First: 3, Count: 1},
+		{Kind: Slow, At: 14, Length: 4, Group: 2, Count: 2, Times: 5}, {Kind: SiteOut, At: 22, Length: 8, Zone: 1}}
+	r, err := Run(s)
+	require.NoError(t, err)
+	t.Logf("calm %.3f, troubled %.3f: %+v", calm.Score(), r.Score(), *r)
+	assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted+r.Lost)
+	assert.Zero(t, r.Open)
+	assert.Zero(t, r.Twice)
+	assert.Positive(t, r.Lost, "with the site's routers")
+	assert.Less(t, r.Score(), calm.Score())
+	assert.Greater(t, r.Score(), 0.5)
+	again, err := Run(s)
+	require.NoError(t, err)
+	assert.Equal(t, r, again)
+}
+
+func TestTroublesThatCannotBe(t *testing.T) {
+	for want, trouble := range map[string]Trouble{
+		"kind 77 is none": {Kind: 77, Length: 1}, "group 9 of 2": {Length: 1, Group: 9}, "engines 3 to 5 of 4": {Length: 1, First: 3, Count: 3},
+		"times 0": {Kind: Slow, Length: 1, Count: 1}, "for 0": {Kind: Die, Count: 1},
+	} {
+		s := day(1)
+		s.Troubles = []Trouble{trouble}
+		_, err := Run(s)
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -1,6 +1,10 @@
 package lab
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+
 	"cherryhub/decide"
 	"cherryhub/internal/emulate"
 )
@@ -9,10 +13,36 @@
 // internal/edge does: the first token wins, a state is let go once, timeouts of writes are to their first token.
 type router struct {
 	w      *world
+	index  int
+	zone   int
 	decide *decide.Router
 	open   map[uint64]*completion
+	start  float64 // of its clock
+	life   int     // how often it was started anew
+	isDown bool
+}
+
+// begin starts it with the list as it is.
+func (r *router) begin() error {
+	own := r.w.s.Decide
+	own.Seed = r.w.s.Seed*1_000_003 + uint64(r.index)*1_009 + uint64(r.life) + 1
+	own.Zone = r.zone
+	one, err := decide.New(own, r)
+	if err != nil {
+		return fmt.Errorf("lab: %w", err)
+	}
+	r.decide, r.open = one, map[uint64]*completion{}
+	var facts []decide.Fact
+	for _, e := range r.w.engines {
+		facts = append(facts, r.w.fact(e, e.phase, r))
+	}
+	r.call(func() { r.decide.Listed(decide.ListFull, facts) })
+	return nil
 }
 
+// order is its open completions by number: a map has none.
+func (r *router) order() []uint64 { return slices.Sorted(maps.Keys(r.open)) }
+
 // completion is one that was taken.
 type completion struct {
 	id, session    uint64
@@ -20,6 +50,7 @@
 	prompt, answer int
 	began          float64
 	r              *router
+	life           int // of the router
 	handle         *decide.Completion
 	runs           []*run
 	won            *run
@@ -44,12 +75,15 @@
 
 // call makes a call on decide at the clock's time.
 func (r *router) call(f func()) {
-	r.decide.At(r.w.clock.Now())
+	r.decide.At(r.w.clock.Now() - r.start)
 	f()
 }
 
 // of makes a call about a completion, unless it is over.
 func (r *router) of(c *completion, f func(h *decide.Completion)) {
+	if c.life != r.life { // of a router that is gone
+		return
+	}
 	if c.handle != nil && !c.handle.Over() {
 		r.call(func() { f(c.handle) })
 	}
@@ -64,7 +98,7 @@
 
 func (r *router) take(c *completion) {
 	w := r.w
-	c.r, c.began = r, w.clock.Now()
+	c.r, c.life, c.began = r, r.life, w.clock.Now()
 	r.open[c.id] = c
 	w.result.Completions++
 	w.result.Value += c.value()
@@ -107,14 +141,28 @@
 	if d.over {
 		return
 	}
+	w := d.c.r.w
+	if d.at.isDown {
+		w.clock.After(w.s.Way, func() { d.end(decide.Unreachable) })
+		return
+	}
 	if d.fetches == nil {
 		d.submit(emulate.Write)
 		return
 	}
 	from := d.fetches.at
+	if from.Held(d.fetches.job.ID) == 0 { // its reader died meanwhile
+		d.kept = 1 // as the protocol says that there was no state
+		w.clock.After(w.s.Way, func() { d.end(decide.Full) })
+		return
+	}
 	d.moving = d.c.r.w.links[from.group.Cell].Send(float64(d.c.prompt), func() {
 		d.moving = nil
 		from.Release(d.fetches.job.ID)
+		if d.at.isDown {
+			w.clock.After(w.s.Way, func() { d.end(decide.Broken) })
+			return
+		}
 		d.submit(emulate.Fetch)
 	})
 }
@@ -203,9 +251,12 @@
 	} else if done {
 		c.answered(&w.result.Aborted)
 	}
-	report := d.at.Report()
+	report := columns(d.at.Report())
+	if d.at.isDown {
+		report = nil
+	}
 	c.r.of(c, func(h *decide.Completion) {
-		h.Ended(d.n, o, w.clock.Now()-d.sent, done, float64(d.kept), columns(report))
+		h.Ended(d.n, o, w.clock.Now()-d.sent, done, float64(d.kept), report)
 	})
 	if c.handle != nil && c.handle.Over() && c.state != nil {
 		c.state.letGo()
@@ -213,6 +264,23 @@
 	}
 }
 
+// cut ends a dispatch whose router is gone: nobody is told.
+func (d *run) cut() {
+	if d.over {
+		return
+	}
+	d.over = true
+	d.timeout()
+	if d.moving != nil {
+		d.moving()
+		d.fetches.letGo()
+	}
+	if d.job != nil {
+		d.at.Cancel(d.job.ID)
+		d.at.Release(d.job.ID)
+	}
+}
+
 // letGo has a reader drop a state.
 func (d *run) letGo() {
 	d.c.r.w.clock.After(d.c.r.w.s.Way, func() { d.at.Release(d.job.ID) })
@@ -257,7 +325,12 @@
 	if r.w.clock.Now() > r.w.s.Length+wakesAfter { // it would go on for ever
 		return
 	}
-	r.w.clock.After(after, func() { r.call(r.decide.Due) })
+	life := r.life
+	r.w.clock.After(after, func() {
+		if life == r.life {
+			r.call(r.decide.Due)
+		}
+	})
 }
 
 // wakesAfter is how long after the last completion came a router is still woken, in seconds: longer than any
@@ -266,9 +339,17 @@
 
 func (r *router) Probe(engine int) {
 	w, e := r.w, r.w.engines[engine]
+	life := r.life
 	w.clock.After(w.s.Way, func() {
-		report := columns(e.Report())
-		w.clock.After(w.s.Way, func() { r.call(func() { r.decide.Probed(engine, decide.Finished, report) }) })
+		o, report := decide.Finished, columns(e.Report())
+		if e.isDown {
+			o, report = decide.Unreachable, nil
+		}
+		w.clock.After(w.s.Way, func() {
+			if life == r.life {
+				r.call(func() { r.decide.Probed(engine, o, report) })
+			}
+		})
 	})
 }
 
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -39,14 +39,17 @@
 
 // Settings are a day's.
 type Settings struct {
-	Seed    uint64
-	Length  float64 // seconds in which completions come
-	Routers int
-	Groups  []Group
-	Loads   []Load
-	Way     float64 // seconds between a router and an engine, one way
-	Link    float64 // tokens of state a second out of each reader's cell
-	Decide  decide.Settings
+	Seed     uint64
+	Length   float64 // seconds in which completions come
+	Routers  int
+	Groups   []Group
+	Loads    []Load
+	Troubles []Trouble
+	ListLate float64 // seconds until the routers hear of an engine's death or return
+	Zones    int     // of routers, in turn; 0 for one
+	Way      float64 // seconds between a router and an engine, one way
+	Link     float64 // tokens of state a second out of each reader's cell
+	Decide   decide.Settings
 }
 
 // Result is what a day came to.
@@ -55,6 +58,7 @@
 	InTarget                                    int                     // first token within the latency target
 	Value, Served                               float64                 // offered; and of those in target
 	TTFT                                        *hdrhistogram.Histogram // µs, of those finished
+	Lost                                        int                     // with their router
 	Dispatches                                  int
 	Preemptions                                 uint64
 	Events                                      uint64
@@ -85,9 +89,12 @@
 // box is an engine with its place.
 type box struct {
 	*emulate.Engine
-	index int
-	group *Group
-	jobs  uint64
+	index   int
+	group   *Group
+	jobs    uint64
+	isDown  bool
+	phase   decide.Phase
+	started float64 // on the clock; far below 0 for long ago
 }
 
 // Run plays a day.
@@ -107,23 +114,26 @@
 			if err != nil {
 				return nil, err
 			}
-			w.engines = append(w.engines, &box{Engine: e, index: len(w.engines), group: g})
+			w.engines = append(w.engines, &box{Engine: e, index: len(w.engines), group: g, phase: decide.Ready, started: longAgo})
 		}
 		if w.links[g.Cell] == nil {
 			w.links[g.Cell] = emulate.NewLink(s.Link, &w.clock)
 		}
 	}
 	s.Decide.Routers, s.Decide.Columns = s.Routers, []string{"queue", "util", "x0", "x1"}
+	w.s.Decide = s.Decide
 	for i := range s.Routers {
-		own := s.Decide
-		own.Seed = s.Seed*1_000_003 + uint64(i) + 1
-		r := &router{w: w, open: map[uint64]*completion{}}
-		var err error
-		if r.decide, err = decide.New(own, r); err != nil {
-			return nil, fmt.Errorf("lab: %w", err)
+		r := &router{w: w, index: i, zone: i % max(1, s.Zones)}
+		if err := r.begin(); err != nil {
+			return nil, err
 		}
 		w.routers = append(w.routers, r)
-		r.call(func() { r.decide.Listed(decide.ListFull, w.facts()) })
+	}
+	for i, t := range s.Troubles {
+		if err := w.check(&t, i); err != nil {
+			return nil, err
+		}
+		w.plan(t)
 	}
 	for i := range s.Loads {
 		w.come(&s.Loads[i])
@@ -142,17 +152,27 @@
 	return &w.result, nil
 }
 
-func (w *world) facts() []decide.Fact {
-	var all []decide.Fact
-	for i, e := range w.engines {
-		kind := 0
-		for &w.s.Groups[kind] != e.group {
-			kind++
+const longAgo = -1e6
+
+// fact is what the list says of an engine, on a router's clock.
+func (w *world) fact(e *box, phase decide.Phase, r *router) decide.Fact {
+	kind := 0
+	for &w.s.Groups[kind] != e.group {
+		kind++
+	}
+	return decide.Fact{Engine: e.index, Mark: uint64(e.index+1) * 0x9E3779B97F4A7C15, Zone: e.group.Zone, Kind: kind, Cell: e.group.Cell,
+		Phase: phase, Started: e.started - r.start}
+}
+
+// pick is the router that a client comes to: any that is up, nil if none is.
+func (w *world) pick() *router {
+	first := w.chance.IntN(len(w.routers))
+	for i := range w.routers {
+		if r := w.routers[(first+i)%len(w.routers)]; !r.isDown {
+			return r
 		}
-		all = append(all, decide.Fact{Engine: i, Mark: uint64(i+1) * 0x9E3779B97F4A7C15, Zone: e.group.Zone, Kind: kind, Cell: e.group.Cell,
-			Phase: decide.Ready, Started: -1e6})
 	}
-	return all
+	return nil
 }
 
 // come has a load's next session come, and plans the one after it.
@@ -179,7 +199,13 @@
 		answer: min(1+int(w.chance.ExpFloat64()*l.Answer), max(1, l.MaxAnswer))}
 	w.next++
 	c.id = w.next
-	w.routers[w.chance.IntN(len(w.routers))].take(c)
+	if r := w.pick(); r != nil {
+		r.take(c)
+	} else {
+		w.result.Completions++
+		w.result.Value += c.value()
+		w.result.Lost++
+	}
 	if n+1 < l.KeptTurns {
 		w.clock.After(w.chance.ExpFloat64()*l.TurnsApart, func() {
 			if w.clock.Now() <= w.s.Length {
