Baselines in virtual time: random, least own, two choices, prefix only

An experiment needs something to compare the program's decisions with.

Simple policies in the place of decide.Router, with the same actions, retries where harmless and an answer before the client timeout.

--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -66,3 +66,27 @@
 	_, err = (&Experiment{Days: []Settings{day(1)}, Variants: []Variant{{Name: "v"}}, Seeds: seeds(50)}).Run(ctx)
 	assert.ErrorIs(t, err, context.Canceled)
 }
+
+// The program's decisions against the baselines, on a troubled day near its engines' capacity.
+func TestBaselines(t *testing.T) {
+	d := day(40)
+	d.Length, d.ListLate = 15, 0.2
+	d.Troubles = []Trouble{{Kind: Pause, At: 3, Length: 3, Group: 1, Count: 1}, {Kind: Die, At: 6, Length: 4, Group: 0, Count: 1},
+		{Kind: Slow, At: 8, Length: 4, Group: 1, First: 2, Count: 1, Times: 6}}
+	x := &Experiment{Days: []Settings{d}, Seeds: seeds(6), Variants: []Variant{{Name: "decide"}}}
+	for b := Random; int(b) < baselines; b++ {
+		x.Variants = append(x.Variants, Variant{b.String(), func(s *Settings) { s.Baseline = b }})
+	}
+	o, err := x.Run(t.Context())
+	require.NoError(t, err)
+	for v, name := range o.Variants {
+		for _, r := range o.Results[0][v] {
+			assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted, name)
+			assert.Zero(t, r.Open+r.Twice, name)
+		}
+	}
+	for _, c := range o.Compare((*Result).Score) {
+		t.Logf("%+v", c)
+		assert.Negative(t, c.High, "%s is worse than decide", c.Variant)
+	}
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -9,13 +9,13 @@
 	"cherryhub/internal/emulate"
 )
 
-// router is one router: a decide.Router, and in place of the edge what is done for it in virtual time. It does as
+// router is one router: a decide.Router or a baseline, and in place of the edge what is done for it in virtual time. It does as
 // internal/edge does: the first token wins, a state is let go once, timeouts of writes are to their first token.
 type router struct {
 	w      *world
 	index  int
 	zone   int
-	decide *decide.Router
+	decide policy
 	open   map[uint64]*completion
 	start  float64 // of its clock
 	life   int     // how often it was started anew
@@ -27,11 +27,16 @@
 	own := r.w.s.Decide
 	own.Seed = r.w.s.Seed*1_000_003 + uint64(r.index)*1_009 + uint64(r.life) + 1
 	own.Zone = r.zone
-	one, err := decide.New(own, r)
-	if err != nil {
-		return fmt.Errorf("lab: %w", err)
+	r.open = map[uint64]*completion{}
+	if b := r.w.s.Baseline; b != None {
+		r.decide = newSimple(b, own, r)
+	} else {
+		one, err := decide.New(own, r)
+		if err != nil {
+			return fmt.Errorf("lab: %w", err)
+		}
+		r.decide = ownPolicy{one}
 	}
-	r.decide, r.open = one, map[uint64]*completion{}
 	var facts []decide.Fact
 	for _, e := range r.w.engines {
 		facts = append(facts, r.w.fact(e, e.phase, r))
@@ -51,7 +56,7 @@
 	began          float64
 	r              *router
 	life           int // of the router
-	handle         *decide.Completion
+	handle         handle
 	runs           []*run
 	won            *run
 	final          bool
@@ -80,7 +85,7 @@
 }
 
 // of makes a call about a completion, unless it is over.
-func (r *router) of(c *completion, f func(h *decide.Completion)) {
+func (r *router) of(c *completion, f func(h handle)) {
 	if c.life != r.life { // of a router that is gone
 		return
 	}
@@ -219,7 +224,7 @@
 		w.result.InTarget++
 		w.result.Served += c.value()
 	}
-	c.r.of(c, func(h *decide.Completion) { h.Started(d.n, w.clock.Now()-d.sent) })
+	c.r.of(c, func(h handle) { h.Started(d.n, w.clock.Now()-d.sent) })
 }
 
 // end tells decide how a dispatch ended, and has the engine leave what it still does of it.
@@ -255,7 +260,7 @@
 	if d.at.isDown {
 		report = nil
 	}
-	c.r.of(c, func(h *decide.Completion) {
+	c.r.of(c, func(h handle) {
 		h.Ended(d.n, o, w.clock.Now()-d.sent, done, float64(d.kept), report)
 	})
 	if c.handle != nil && c.handle.Over() && c.state != nil {
@@ -294,7 +299,7 @@
 func (r *router) HoldPlace(id uint64, engine int) {
 	c := r.open[id]
 	n := len(c.runs)
-	r.w.clock.After(0, func() { r.of(c, func(h *decide.Completion) { h.Placed(n, false) }) })
+	r.w.clock.After(0, func() { r.of(c, func(h handle) { h.Placed(n, false) }) })
 }
 
 func (r *router) Release(id uint64) {
@@ -318,7 +323,7 @@
 
 func (r *router) Wake(id uint64, after float64) {
 	c := r.open[id]
-	r.w.clock.After(after, func() { r.of(c, func(h *decide.Completion) { h.Due() }) })
+	r.w.clock.After(after, func() { r.of(c, func(h handle) { h.Due() }) })
 }
 
 func (r *router) WakeRouter(after float64) {
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -44,6 +44,7 @@
 	Routers  int
 	Groups   []Group
 	Loads    []Load
+	Baseline Baseline // decides in place of decide.Router, None for none
 	Troubles []Trouble
 	ListLate float64 // seconds until the routers hear of an engine's death or return
 	Zones    int     // of routers, in turn; 0 for one
@@ -101,6 +102,9 @@
 func Run(s Settings) (*Result, error) {
 	w := &world{s: s, links: map[int]*emulate.Link{}, chance: rand.New(rand.NewPCG(s.Seed, 1))}
 	w.result.TTFT = hdrhistogram.New(1, 3_600_000_000, 3)
+	if int(s.Baseline) >= baselines {
+		return nil, fmt.Errorf("lab: baseline %d is none", s.Baseline)
+	}
 	if s.Routers < 1 || len(s.Groups) == 0 || !(s.Length > 0) || !(s.Link > 0) || !(s.Way >= 0) {
 		return nil, fmt.Errorf("lab: routers, groups, length and link: wanted 1 or more, above 0: %d, %d, %v, %v", s.Routers, len(s.Groups), s.Length, s.Link)
 	}
