--- /dev/null
+++ b/cmd/cherryhub/lab.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"cherryhub/internal/config"
+	"cherryhub/internal/lab"
+	pb "cherryhub/proto"
+)
+
+func labCommand() *cobra.Command {
+	c := &cobra.Command{Use: "lab", Short: "Play experiments in virtual time"}
+	var asJSON bool
+	var workers int
+	run := &cobra.Command{Use: "run EXPERIMENT", Short: "Play days by variants by seeds, and compare each variant with the first", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			x := &pb.Experiment{}
+			if err := settings(args[0], "", x); err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+			defer stop()
+			e := config.Experiment(x)
+			e.Workers = workers
+			o, err := e.Run(ctx)
+			if err != nil {
+				return err
+			}
+			return printOutcome(os.Stdout, o, asJSON)
+		}}
+	run.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	run.Flags().IntVar(&workers, "workers", 0, "days at once, 0 for one a core")
+	c.AddCommand(run)
+	return c
+}
+
+// labRow is a variant over all days and seeds.
+type labRow struct {
+	Variant     string          `json:"variant"`
+	Score       float64         `json:"score"`
+	TTFTP50     float64         `json:"ttft_p50_s"`
+	TTFTP99     float64         `json:"ttft_p99_s"`
+	Completions int             `json:"completions"`
+	Finished    int             `json:"finished"`
+	RateLimited int             `json:"rate_limited"`
+	Aborted     int             `json:"aborted"`
+	Lost        int             `json:"lost"`
+	Compared    *lab.Difference `json:"score_compared_to_first,omitempty"`
+}
+
+func printOutcome(to io.Writer, o *lab.Outcome, asJSON bool) error {
+	differences := o.Compare((*lab.Result).Score)
+	var rows []labRow
+	for v, name := range o.Variants {
+		row := labRow{Variant: name}
+		ttft := hdrhistogram.New(1, 3_600_000_000, 3)
+		n := 0
+		for _, day := range o.Results {
+			for _, r := range day[v] {
+				if r.Open+r.Twice > 0 {
+					return fmt.Errorf("lab: variant %s: %d completions have no final answer, %d two", name, r.Open, r.Twice)
+				}
+				n++
+				row.Score += r.Score()
+				row.Completions += r.Completions
+				row.Finished += r.Finished
+				row.RateLimited += r.RateLimited
+				row.Aborted += r.Aborted
+				row.Lost += r.Lost
+				ttft.Merge(r.TTFT)
+			}
+		}
+		row.Score /= float64(n)
+		row.TTFTP50, row.TTFTP99 = float64(ttft.ValueAtQuantile(50))/1e6, float64(ttft.ValueAtQuantile(99))/1e6
+		if v > 0 {
+			row.Compared = &differences[v-1]
+		}
+		rows = append(rows, row)
+	}
+	if asJSON {
+		e := json.NewEncoder(to)
+		e.SetIndent("", "  ")
+		return e.Encode(rows)
+	}
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "variant\tscore\tcompared to the first (95%)\tttft p50\tp99\tcompletions\tfinished\trate-limited\taborted\tlost")
+	for _, r := range rows {
+		compared := "-"
+		if d := r.Compared; d != nil {
+			compared = fmt.Sprintf("%+.3f (%+.3f to %+.3f)", d.Mean, d.Low, d.High)
+			if !d.Distinct {
+				compared += ", may be noise"
+			}
+		}
+		fmt.Fprintf(w, "%s\t%.3f\t%s\t%.3f s\t%.3f s\t%d\t%d\t%d\t%d\t%d\n", r.Variant, r.Score, compared, r.TTFTP50, r.TTFTP99,
+			r.Completions, r.Finished, r.RateLimited, r.Aborted, r.Lost)
+	}
+	fmt.Fprintln(w, "\nA model in virtual time, no engines: docs/emulator.md.")
+	return w.Flush()
+}
--- a/cmd/cherryhub/serve.go
+++ b/cmd/cherryhub/serve.go
@@ -132,9 +132,9 @@
 	c := &cobra.Command{Use: "config", Short: "Check or print settings"}
 	var kind string
 	load := func(file string) (proto.Message, error) {
-		m := map[string]proto.Message{"router": &pb.Router{}, "fleet": &pb.Fleet{}, "day": &pb.Day{}, "admission": &pb.Admission{}}[kind]
+		m := map[string]proto.Message{"router": &pb.Router{}, "fleet": &pb.Fleet{}, "day": &pb.Day{}, "admission": &pb.Admission{}, "lab": &pb.Experiment{}}[kind]
 		if m == nil {
-			return nil, usage{fmt.Errorf("--kind %q: wanted router, fleet, day or admission", kind)}
+			return nil, usage{fmt.Errorf("--kind %q: wanted router, fleet, day, admission or lab", kind)}
 		}
 		return m, settings(file, "", m)
 	}
@@ -155,7 +155,7 @@
 			fmt.Print(config.Text(config.Effective(m)))
 			return nil
 		}}
-	c.PersistentFlags().StringVar(&kind, "kind", "router", "what the file holds: router, fleet, day or admission")
+	c.PersistentFlags().StringVar(&kind, "kind", "router", "what the file holds: router, fleet, day, admission or lab")
 	c.AddCommand(check, show)
 	return c
 }
--- a/deploy/deploy.go
+++ b/deploy/deploy.go
@@ -6,5 +6,5 @@
 
 // Files are the examples and days, by their path below deploy/.
 //
-//go:embed examples/*.textproto days/*.textproto
+//go:embed examples/*.textproto days/*.textproto labs/*.textproto
 var Files embed.FS
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,6 +13,7 @@
 
 	"cherryhub/decide"
 	"cherryhub/deploy"
+	"cherryhub/internal/lab"
 	pb "cherryhub/proto"
 )
 
@@ -104,6 +105,8 @@
 			switch {
 			case strings.HasPrefix(name, "days/"):
 				return &pb.Day{}
+			case strings.HasPrefix(name, "labs/"):
+				return &pb.Experiment{}
 			case strings.Contains(path.Base(name), "fleet"):
 				return &pb.Fleet{}
 			}
@@ -189,3 +192,36 @@
 	r.AdmissionFile, r.Admission = proto.String("x"), nil
 	assert.NoError(t, Parse("f", []byte(Text(Effective(r))), &pb.Router{}), "what is printed can be read")
 }
+
+func TestExperiment(t *testing.T) {
+	const good = `variants { name: "a" } days { name: "d" groups { role: WRITER count: 2 } loads { workload: "w" }
+router { machines { name: "m" role: MIXED } workloads { name: "w" value: 2 client_timeout_s: 4 } list {} } }`
+	x := &pb.Experiment{}
+	require.NoError(t, Parse("f", []byte(good), x))
+	e := Experiment(x)
+	assert.Len(t, e.Seeds, 6)
+	assert.Equal(t, 4.0, e.Days[0].Loads[0].Timeout)
+	assert.Equal(t, 0.002, e.Days[0].Loads[0].ValuePerToken)
+	o, err := e.Run(t.Context())
+	require.NoError(t, err)
+	assert.Positive(t, o.Results[0][0][0].Finished)
+	for text, want := range map[string]string{
+		strings.Replace(good, `workload: "w"`, `workload: "x"`, 1):                    `days[0].loads[0].workload: "x" is none`,
+		strings.Replace(good, "role: WRITER", "role: READER", 1):                      "days[0].groups: none can write",
+		strings.Replace(good, "count: 2", "count: 2 step_ms: 0 read_us: 0", 1):        "a step would take no time",
+		strings.Replace(good, "loads {", "troubles { group: 3 } loads {", 1):          "troubles[0].group: 3 is none of 1",
+		strings.Replace(good, "loads {", "troubles { first: 1 count: 2 } loads {", 1): "engines 1 to 2 are more than the group's 2",
+		good + `variants { name: "a" }`:                                               "is there twice",
+		strings.Replace(good, "count: 2", "count: 0", 1):                              "days[0].groups[0].count: 0 is out of range",
+	} {
+		assert.ErrorContains(t, Parse("f", []byte(text), &pb.Experiment{}), want)
+	}
+	for p, b := range map[pb.LabVariant_Policy]lab.Baseline{pb.LabVariant_DECIDE: lab.None, pb.LabVariant_RANDOM: lab.Random,
+		pb.LabVariant_LEAST_OWN: lab.LeastOwn, pb.LabVariant_TWO_CHOICES: lab.TwoChoices, pb.LabVariant_PREFIX_ONLY: lab.PrefixOnly} {
+		assert.Equal(t, b, lab.Baseline(p), "numbered alike")
+	}
+	for p, k := range map[pb.LabTrouble_Kind]lab.Kind{pb.LabTrouble_PAUSE: lab.Pause, pb.LabTrouble_SLOW: lab.Slow, pb.LabTrouble_CREEP: lab.Creep,
+		pb.LabTrouble_DIE: lab.Die, pb.LabTrouble_SITE_OUT: lab.SiteOut, pb.LabTrouble_DRAINED: lab.Drained} {
+		assert.Equal(t, k, lab.Kind(p), "numbered alike")
+	}
+}
--- /dev/null
+++ b/internal/config/lab.go
@@ -0,0 +1,115 @@
+package config
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/internal/emulate"
+	"cherryhub/internal/lab"
+	pb "cherryhub/proto"
+)
+
+// experiment checks what a schema can't say of an experiment.
+func (c *checker) experiment(x *pb.Experiment) {
+	days, variants := map[string]bool{}, map[string]bool{}
+	for i, v := range x.GetVariants() {
+		c.differ(variants, fmt.Sprintf("variants[%d].name", i), v.GetName())
+	}
+	for i, d := range x.GetDays() {
+		at := fmt.Sprintf("days[%d].", i)
+		c.differ(days, at+"name", d.GetName())
+		c.router(d.GetRouter(), at+"router.", false)
+		workloads := map[string]bool{}
+		for _, w := range d.GetRouter().GetWorkloads() {
+			workloads[w.GetName()] = true
+		}
+		for j, l := range d.GetLoads() {
+			if !workloads[l.GetWorkload()] {
+				c.add(fmt.Sprintf("%sloads[%d].workload", at, j), "%q is none of the router's workloads", l.GetWorkload())
+			}
+		}
+		writes := false
+		for j, g := range d.GetGroups() {
+			if g.GetRole() == pb.Role_ROLE_UNSPECIFIED {
+				c.add(fmt.Sprintf("%sgroups[%d].role", at, j), "must be READER, WRITER or MIXED")
+			}
+			if g.GetStepMs() == 0 && (g.GetReadUs() == 0 || g.GetWriteUs() == 0) {
+				c.add(fmt.Sprintf("%sgroups[%d].step_ms", at, j), "0: a step would take no time, wanted it or read_us and write_us above 0")
+			}
+			writes = writes || g.GetRole() != pb.Role_READER
+		}
+		if !writes {
+			c.add(at+"groups", "none can write: a WRITER or a MIXED one is wanted")
+		}
+		for j, t := range d.GetTroubles() {
+			field := fmt.Sprintf("%stroubles[%d].", at, j)
+			switch groups := d.GetGroups(); {
+			case t.GetKind() == pb.LabTrouble_SITE_OUT:
+			case int(t.GetGroup()) >= len(groups):
+				c.add(field+"group", "%d is none of %d, from 0", t.GetGroup(), len(groups))
+			case t.GetFirst()+t.GetCount() > groups[t.GetGroup()].GetCount():
+				c.add(field+"count", "engines %d to %d are more than the group's %d", t.GetFirst(), t.GetFirst()+t.GetCount()-1, groups[t.GetGroup()].GetCount())
+			}
+		}
+	}
+}
+
+// Experiment is one as the laboratory plays it.
+func Experiment(x *pb.Experiment) *lab.Experiment {
+	o := &lab.Experiment{}
+	for _, d := range x.GetDays() {
+		o.Days = append(o.Days, labDay(d))
+	}
+	for i := range x.GetSeeds() {
+		o.Seeds = append(o.Seeds, uint64(i+1))
+	}
+	for _, v := range x.GetVariants() {
+		o.Variants = append(o.Variants, lab.Variant{Name: v.GetName(), Change: func(s *lab.Settings) {
+			s.Baseline = lab.Baseline(v.GetPolicy()) // numbered alike
+			if n := v.GetRouters(); n > 0 {
+				s.Routers = int(n)
+			}
+			for i := range s.Loads {
+				s.Loads[i].Rate *= v.GetLoad()
+			}
+			if v.GetNoTroubles() {
+				s.Troubles = nil
+			}
+			if a := v.GetAllowed(); a != nil {
+				s.Decide.Probes, s.Decide.WritersRead, s.Decide.Cancels = a.GetProbes(), a.GetWritersRead(), a.GetCancels()
+				s.Decide.MaxDispatches, s.Decide.MaxComeBack = int(a.GetMaxDispatches()), a.GetMaxComeBackS()
+			}
+		}})
+	}
+	return o
+}
+
+func labDay(d *pb.LabDay) lab.Settings {
+	r := proto.CloneOf(d.GetRouter())
+	r.Seed = proto.Uint64(1) // the experiment's seeds count
+	s := lab.Settings{Length: d.GetLengthS(), Routers: int(d.GetRouters()), Zones: int(d.GetZones()), Way: d.GetWayMs() / 1000,
+		Link: d.GetLinkTokensPerS(), ListLate: d.GetListLateS(), Decide: Decide(r)}
+	s.Decide.Places = false // not played
+	cold := r.GetCold()
+	for _, g := range d.GetGroups() {
+		s.Groups = append(s.Groups, lab.Group{Role: roleOf(g.GetRole()), Count: int(g.GetCount()), Zone: int(g.GetZone()), Cell: int(g.GetCell()),
+			Model: emulate.Model{Slots: int(g.GetSlots()), Queue: int(g.GetQueue()), BlockTokens: int(g.GetBlockTokens()), Blocks: int(g.GetBlocks()),
+				StepTokens: int(g.GetStepTokens()), StepBase: g.GetStepMs() / 1e3, ReadToken: g.GetReadUs() / 1e6, WriteToken: g.GetWriteUs() / 1e6,
+				ContextToken: g.GetContextUs() / 1e6, StartShare: cold.GetStartShare(), Warm: cold.GetWarmS()}})
+	}
+	for _, l := range d.GetLoads() {
+		for i, w := range r.GetWorkloads() {
+			if w.GetName() == l.GetWorkload() {
+				s.Loads = append(s.Loads, lab.Load{Rate: l.GetPerS(), Workload: i, Prompt: l.GetPromptTokens(), Shared: int(l.GetSharedTokens()),
+					Answer: l.GetAnswerTokens(), Timeout: w.GetClientTimeoutS(), MaxAnswer: int(w.GetMaxAnswerTokens()), KeptTurns: int(l.GetTurns()),
+					TurnsApart: l.GetTurnsApartS(), ValuePerToken: w.GetValue() / 1000})
+			}
+		}
+	}
+	for _, t := range d.GetTroubles() {
+		s.Troubles = append(s.Troubles, lab.Trouble{Kind: lab.Kind(t.GetKind()), At: t.GetAtS(), Length: t.GetLengthS(), Group: int(t.GetGroup()), // numbered alike
+			First: int(t.GetFirst()), Count: int(t.GetCount()), Zone: int(t.GetZone()), Times: t.GetTimes()})
+	}
+	return s
+}
--- a/internal/config/refer.go
+++ b/internal/config/refer.go
@@ -22,6 +22,8 @@
 		c.fleet(m, "")
 	case *pb.Day:
 		c.day(m)
+	case *pb.Experiment:
+		c.experiment(m)
 	case *pb.Admission:
 		c.admission(m, "")
 	}
