--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -211,6 +211,7 @@
 		strings.Replace(good, "count: 2", "count: 2 step_ms: 0 read_us: 0", 1):        "a step would take no time",
 		strings.Replace(good, "loads {", "troubles { group: 3 } loads {", 1):          "troubles[0].group: 3 is none of 1",
 		strings.Replace(good, "loads {", "troubles { first: 1 count: 2 } loads {", 1): "engines 1 to 2 are more than the group's 2",
+		good + `variants { name: "b" peers { lease_s: 1 } }`:                          "variants[1].peers.lease_s: 1 is not above settle_s, 2",
 		good + `variants { name: "a" }`:                                               "is there twice",
 		strings.Replace(good, "count: 2", "count: 0", 1):                              "days[0].groups[0].count: 0 is out of range",
 	} {
--- a/internal/config/lab.go
+++ b/internal/config/lab.go
@@ -15,6 +15,9 @@
 	days, variants := map[string]bool{}, map[string]bool{}
 	for i, v := range x.GetVariants() {
 		c.differ(variants, fmt.Sprintf("variants[%d].name", i), v.GetName())
+		if p := v.GetPeers(); p != nil && p.GetLeaseS() <= p.GetSettleS() {
+			c.add(fmt.Sprintf("variants[%d].peers.lease_s", i), "%v is not above settle_s, %v", p.GetLeaseS(), p.GetSettleS())
+		}
 	}
 	for i, d := range x.GetDays() {
 		at := fmt.Sprintf("days[%d].", i)
@@ -76,6 +79,10 @@
 			if v.GetNoTroubles() {
 				s.Troubles = nil
 			}
+			if p := v.GetPeers(); p != nil {
+				s.Peers = &lab.Peers{Interval: p.GetProbeIntervalS(), Candidates: int(p.GetCandidates()), Settle: p.GetSettleS(), Lease: p.GetLeaseS(),
+					HandOver: p.GetHandOverS(), Seen: p.GetSeenS()}
+			}
 			if a := v.GetAllowed(); a != nil {
 				s.Decide.Probes, s.Decide.WritersRead, s.Decide.Cancels = a.GetProbes(), a.GetWritersRead(), a.GetCancels()
 				s.Decide.MaxDispatches, s.Decide.MaxComeBack = int(a.GetMaxDispatches()), a.GetMaxComeBackS()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -129,3 +129,25 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// Routers that talk know more of engines that stand still or died.
+func TestSharedProbing(t *testing.T) {
+	s := day(30)
+	s.Routers, s.Length, s.ListLate = 30, 15, 0.2
+	s.Troubles = []Trouble{{Kind: Pause, At: 3, Length: 5, Group: 1, Count: 1}, {Kind: Die, At: 9, Length: 3, Group: 0, Count: 1}}
+	alone, err := Run(s)
+	require.NoError(t, err)
+	s.Peers = &Peers{Interval: 0.25, Candidates: 2, Settle: 1, Lease: 30, HandOver: 0.1, Seen: 0.7}
+	shared, err := Run(s)
+	require.NoError(t, err)
+	t.Logf("alone %.3f with %d probes, shared %.3f with %d", alone.Score(), alone.Probes, shared.Score(), shared.Probes)
+	assert.Zero(t, shared.Open+shared.Twice)
+	assert.Equal(t, shared.Completions, shared.Finished+shared.RateLimited+shared.Aborted)
+	assert.Greater(t, shared.Score(), alone.Score())
+	again, err := Run(s)
+	require.NoError(t, err)
+	assert.Equal(t, shared, again)
+	s.Peers.Lease = 0
+	_, err = Run(s)
+	assert.ErrorContains(t, err, "a lease above settle")
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -20,6 +20,7 @@
 	start  float64 // of its clock
 	life   int     // how often it was started anew
 	isDown bool
+	shared *shared // nil where routers don't talk
 }
 
 // begin starts it with the list as it is.
@@ -343,8 +344,22 @@
 const wakesAfter = 120
 
 func (r *router) Probe(engine int) {
-	w, e := r.w, r.w.engines[engine]
 	life := r.life
+	if report := r.shared.fresh(engine); report != nil {
+		r.w.clock.After(0, func() {
+			if life == r.life {
+				r.call(func() { r.decide.Probed(engine, decide.Finished, report) })
+			}
+		})
+		return
+	}
+	r.w.result.Probes++
+	r.probe(engine, life, func(decide.Outcome, []float64) {})
+}
+
+// probe asks an engine for its figures, tells decide and then whoever asked.
+func (r *router) probe(engine, life int, told func(decide.Outcome, []float64)) {
+	w, e := r.w, r.w.engines[engine]
 	w.clock.After(w.s.Way, func() {
 		o, report := decide.Finished, columns(e.Report())
 		if e.isDown {
@@ -353,6 +368,7 @@
 		w.clock.After(w.s.Way, func() {
 			if life == r.life {
 				r.call(func() { r.decide.Probed(engine, o, report) })
+				told(o, report)
 			}
 		})
 	})
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -45,6 +45,7 @@
 	Groups   []Group
 	Loads    []Load
 	Baseline Baseline // decides in place of decide.Router, None for none
+	Peers    *Peers   // nil: each router probes for itself
 	Troubles []Trouble
 	ListLate float64 // seconds until the routers hear of an engine's death or return
 	Zones    int     // of routers, in turn; 0 for one
@@ -60,7 +61,7 @@
 	Value, Served                               float64                 // offered; and of those in target
 	TTFT                                        *hdrhistogram.Histogram // µs, of those finished
 	Lost                                        int                     // with their router
-	Dispatches                                  int
+	Dispatches, Probes                          int
 	Preemptions                                 uint64
 	Events                                      uint64
 	Open                                        int // that had no final answer at the end: none, or a rule is broken
@@ -133,6 +134,16 @@
 		}
 		w.routers = append(w.routers, r)
 	}
+	if s.Peers != nil {
+		if err := s.Peers.check(); err != nil {
+			return nil, err
+		}
+		for _, r := range w.routers {
+			if err := r.join(); err != nil {
+				return nil, err
+			}
+		}
+	}
 	for i, t := range s.Troubles {
 		if err := w.check(&t, i); err != nil {
 			return nil, err
