--- a/cmd/cherryhub/lab.go
+++ b/cmd/cherryhub/lab.go
@@ -66,8 +66,8 @@
 		n := 0
 		for _, day := range o.Results {
 			for _, r := range day[v] {
-				if r.Open+r.Twice > 0 {
-					return fmt.Errorf("lab: variant %s: %d completions have no final answer, %d two", name, r.Open, r.Twice)
+				if r.Open+r.Twice+r.Late > 0 {
+					return fmt.Errorf("lab: variant %s breaks a rule: %d completions have no final answer, %d two, %d a late one", name, r.Open, r.Twice, r.Late)
 				}
 				n++
 				row.Score += r.Score()
--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -82,7 +82,7 @@
 	for v, name := range o.Variants {
 		for _, r := range o.Results[0][v] {
 			assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted, name)
-			assert.Zero(t, r.Open+r.Twice, name)
+			assert.Zero(t, r.Open+r.Twice+r.Late, name)
 		}
 	}
 	for _, c := range o.Compare((*Result).Score) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -33,7 +33,7 @@
 		t.Logf("rate %v: %+v, ttft p50 %v p99 %v µs, score %.3f", rate, *r, r.TTFT.ValueAtQuantile(50), r.TTFT.ValueAtQuantile(99), r.Score())
 		assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted)
 		assert.Zero(t, r.Open)
-		assert.Zero(t, r.Twice)
+		assert.Zero(t, r.Twice+r.Late)
 	}
 }
 
@@ -109,7 +109,7 @@
 	t.Logf("calm %.3f, troubled %.3f: %+v", calm.Score(), r.Score(), *r)
 	assert.Equal(t, r.Completions, r.Finished+r.RateLimited+r.Aborted+r.Lost)
 	assert.Zero(t, r.Open)
-	assert.Zero(t, r.Twice)
+	assert.Zero(t, r.Twice+r.Late)
 	assert.Positive(t, r.Lost, "with the site's routers")
 	assert.Less(t, r.Score(), calm.Score())
 	assert.Greater(t, r.Score(), 0.5)
@@ -141,7 +141,7 @@
 	shared, err := Run(s)
 	require.NoError(t, err)
 	t.Logf("alone %.3f with %d probes, shared %.3f with %d", alone.Score(), alone.Probes, shared.Score(), shared.Probes)
-	assert.Zero(t, shared.Open+shared.Twice)
+	assert.Zero(t, shared.Open+shared.Twice+shared.Late)
 	assert.Equal(t, shared.Completions, shared.Finished+shared.RateLimited+shared.Aborted)
 	assert.Greater(t, shared.Score(), alone.Score())
 	again, err := Run(s)
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -125,6 +125,9 @@
 	}
 	c.final = true
 	*count++
+	if c.won == nil && c.r.w.clock.Now()-c.began > c.load.Timeout {
+		c.r.w.result.Late++
+	}
 	c.r.w.clock.After(0, func() { c.r.settle(c) }) // it may be over by a call on the router, not on it
 }
 
@@ -220,6 +223,9 @@
 	w := c.r.w
 	ttft := w.clock.Now() - c.began
 	wl := &w.s.Decide.Workloads[c.load.Workload]
+	if ttft > c.load.Timeout {
+		w.result.Late++
+	}
 	w.result.TTFT.RecordValue(int64(ttft * 1e6)) //nolint:errcheck // within its range
 	if ttft <= wl.Target+wl.TargetPerToken*float64(c.prompt) {
 		w.result.InTarget++
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -66,6 +66,7 @@
 	Events                                      uint64
 	Open                                        int // that had no final answer at the end: none, or a rule is broken
 	Twice                                       int // final answers after the first: the same
+	Late                                        int // answers, or first tokens, after the client timeout: the same
 }
 
 // Score is the part of the value that was served.
