Results of experiments are kept and compared

To know what a change of the program does, the same experiment must be compared over two builds.

Tested with results that differ and with files that are none.

--- a/cmd/cherryhub/lab.go
+++ b/cmd/cherryhub/lab.go
@@ -21,6 +21,7 @@
 	c := &cobra.Command{Use: "lab", Short: "Play experiments in virtual time"}
 	var asJSON bool
 	var workers int
+	var save string
 	run := &cobra.Command{Use: "run EXPERIMENT", Short: "Play days by variants by seeds, and compare each variant with the first", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			x := &pb.Experiment{}
@@ -35,14 +36,51 @@
 			if err != nil {
 				return err
 			}
+			if save != "" {
+				if err := config.SaveResults(save, config.Results(x, o)); err != nil {
+					return err
+				}
+			}
 			return printOutcome(os.Stdout, o, asJSON)
 		}}
+	run.Flags().StringVar(&save, "save", "", "keep the results in a file, for lab compare")
 	run.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	run.Flags().IntVar(&workers, "workers", 0, "days at once, 0 for one a core")
-	c.AddCommand(run)
+	compare := &cobra.Command{Use: "compare A B", Short: "Compare saved results: the same days, variants and seeds in B with those in A", Args: cobra.ExactArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var both [2]*pb.LabResults
+			for i, file := range args {
+				var err error
+				if both[i], err = config.LoadResults(file); err != nil {
+					return usage{err}
+				}
+			}
+			all, err := config.CompareResults(both[0], both[1])
+			if err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+			fmt.Fprintf(w, "A is of %s, B of %s\nvariant\tscore, B to A\t95%%\tpairs\t\n", orUnknown(both[0].GetRevision()), orUnknown(both[1].GetRevision()))
+			for _, d := range all {
+				noise := ""
+				if !d.Distinct {
+					noise = "may be noise"
+				}
+				fmt.Fprintf(w, "%s\t%+.3f\t%+.3f to %+.3f\t%d\t%s\n", d.Variant, d.Mean, d.Low, d.High, d.Pairs, noise)
+			}
+			return w.Flush()
+		}}
+	c.AddCommand(run, compare)
 	return c
 }
 
+func orUnknown(revision string) string {
+	if revision == "" {
+		return "an unknown revision"
+	}
+	return revision
+}
+
 // labRow is a variant over all days and seeds.
 type labRow struct {
 	Variant     string          `json:"variant"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io/fs"
+	"os"
 	"path"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -205,6 +207,24 @@
 	o, err := e.Run(t.Context())
 	require.NoError(t, err)
 	assert.Positive(t, o.Results[0][0][0].Finished)
+	file := filepath.Join(t.TempDir(), "results")
+	kept := Results(x, o)
+	require.NoError(t, SaveResults(file, kept))
+	again, err := LoadResults(file)
+	require.NoError(t, err)
+	assert.True(t, proto.Equal(kept, again))
+	for _, r := range again.GetResults() {
+		r.Score = proto.Float64(r.GetScore() - 0.1)
+	}
+	differences, err := CompareResults(kept, again)
+	require.NoError(t, err)
+	assert.InDelta(t, -0.1, differences[0].Mean, 1e-9)
+	assert.True(t, differences[0].Distinct)
+	_, err = CompareResults(kept, &pb.LabResults{})
+	assert.ErrorContains(t, err, "in common")
+	require.NoError(t, os.WriteFile(file, []byte("odd"), 0o600))
+	_, err = LoadResults(file)
+	assert.ErrorContains(t, err, "no results of lab run --save")
 	for text, want := range map[string]string{
 		strings.Replace(good, `workload: "w"`, `workload: "x"`, 1):                    `days[0].loads[0].workload: "x" is none`,
 		strings.Replace(good, "role: WRITER", "role: READER", 1):                      "days[0].groups: none can write",
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -119,14 +119,19 @@
 				pairs = append(pairs, figure(by[v][s])-figure(by[0][s]))
 			}
 		}
-		d := Difference{Variant: o.Variants[v], Mean: stat.Mean(pairs, nil), Pairs: len(pairs)}
-		d.Low, d.High = interval(pairs)
-		d.Distinct = len(pairs) >= fewest && (d.Low > 0 || d.High < 0)
-		all = append(all, d)
+		all = append(all, Differ(o.Variants[v], pairs))
 	}
 	return all
 }
 
+// Differ is the difference that pairs tell.
+func Differ(variant string, pairs []float64) Difference {
+	d := Difference{Variant: variant, Mean: stat.Mean(pairs, nil), Pairs: len(pairs)}
+	d.Low, d.High = interval(pairs)
+	d.Distinct = len(pairs) >= fewest && (d.Low > 0 || d.High < 0)
+	return d
+}
+
 // fewest pairs from which anything may be told: of five that differ by chance alone, all do in the same direction
 // once in sixteen times.
 const fewest = 6
