--- a/internal/emulate/engine.go
+++ b/internal/emulate/engine.go
@@ -128,7 +128,7 @@
 	life    int
 	joining bool
 
-	preemptions, steps uint64
+	preemptions uint64
 }
 
 // New makes an engine that is warm.
@@ -293,7 +293,6 @@
 		return
 	}
 	d := e.m.StepBase + e.m.ReadToken*float64(chunk) + e.m.WriteToken*float64(writing) + e.m.ContextToken*float64(context)
-	e.steps++
 	e.step = e.stepOver
 	e.cancel = e.at.After(d*e.slower/e.share(), e.endStep)
 }
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -86,7 +86,6 @@
 	chance  *rand.Rand
 	next    uint64
 	result  Result
-	faults  []string
 }
 
 // box is an engine with its place.
