One place for rooms, keys' sums and their check; the standard library's words

Found when reading the whole change once more: the rooms of admission were listed by the figures and by the admin page, keys' sums read and checked twice each, HTTP's status texts and a search written anew, and a figure nobody read.

Figures.Rooms, sums and checker.keys serve both sides; http.StatusText and slices.Contains the rest. Behaviour stays but for the order in which the admin page lists rooms: leaving is last. Tests unchanged, all of the packages touched pass.

--- a/internal/admit/figures.go
+++ b/internal/admit/figures.go
@@ -8,10 +8,23 @@
 
 // Figures are a gate's totals.
 type Figures struct {
-	Connections, Common, CommonMost, Known, Reserve, Anteroom, AnteroomMost, Leaving int
-	Completions, CompletionsMost, Addresses                                          int
-	Let                                                                              uint64
-	Refused, Ended                                                                   [Reasons]uint64 // by Reason
+	Connections, Common, CommonMost, Reserve, Anteroom, AnteroomMost, Leaving int
+	Completions, CompletionsMost, Addresses                                   int
+	Let                                                                       uint64
+	Refused, Ended                                                            [Reasons]uint64 // by Reason
+}
+
+// RoomUse is how much of a room is used.
+type RoomUse struct {
+	Name string `json:"name"`
+	Used int    `json:"used"`
+	Most int    `json:"most"`
+}
+
+// Rooms are those of a gate. What is not in the common room or the anteroom is in the reserve.
+func (f *Figures) Rooms() []RoomUse {
+	return []RoomUse{{"common", f.Common, f.CommonMost}, {"reserve", f.Connections - f.Common - f.Anteroom, f.Reserve},
+		{"anteroom", f.Anteroom, f.AnteroomMost}, {"completions", f.Completions, f.CompletionsMost}}
 }
 
 // Figures tells the totals.
@@ -19,9 +32,6 @@
 	f := Figures{Common: g.common, CommonMost: g.commonMost(), Reserve: g.s.Reserve, Anteroom: g.anteroom, AnteroomMost: g.s.Anteroom,
 		Leaving: g.going, Completions: g.taken, CompletionsMost: g.s.Completions, Addresses: len(g.byAddr), Let: g.let,
 		Refused: g.refused, Ended: g.ended}
-	for _, at := range g.clients {
-		f.Known += g.holders[at].open
-	}
 	f.Connections = len(g.conns) - len(g.spare) - g.going
 	return f
 }
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"encoding/hex"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -142,13 +141,7 @@
 			Effect: effectOf(w.GetEffect()), Most: int(w.GetMaxAnswerTokens())})
 	}
 	for _, t := range r.GetTenants() {
-		tenant := edge.Tenant{Name: t.GetName(), Anonymous: t.GetAnonymous()}
-		for _, k := range t.GetKeySha256() {
-			var sum [32]byte
-			hex.Decode(sum[:], []byte(k)) //nolint:errcheck // checked with the settings
-			tenant.Keys = append(tenant.Keys, sum)
-		}
-		o.Tenants = append(o.Tenants, tenant)
+		o.Tenants = append(o.Tenants, edge.Tenant{Name: t.GetName(), Anonymous: t.GetAnonymous(), Keys: sums(t.GetKeySha256())})
 	}
 	return o
 }
--- a/internal/config/refer.go
+++ b/internal/config/refer.go
@@ -92,12 +92,7 @@
 	for i, k := range a.GetClients() {
 		field := fmt.Sprintf("%sclients[%d]", at, i)
 		c.differ(names, field+".name", k.GetName())
-		for j, sum := range k.GetKeySha256() {
-			if b, err := hex.DecodeString(sum); err != nil || len(b) != 32 {
-				c.add(fmt.Sprintf("%s.key_sha256[%d]", field, j), "must be the 64 hex digits of a SHA-256")
-			}
-			c.differ(keys, fmt.Sprintf("%s.key_sha256[%d]", field, j), sum)
-		}
+		c.keys(keys, field, k.GetKeySha256())
 		for j, text := range k.GetRanges() {
 			if _, err := netip.ParsePrefix(text); err != nil {
 				c.add(fmt.Sprintf("%s.ranges[%d]", field, j), "%q is no range such as 10.1.0.0/16", text)
@@ -129,17 +124,22 @@
 	}
 }
 
+// keys checks the sums of one holder's API keys; seen are all so far.
+func (c *checker) keys(seen map[string]bool, holder string, sums []string) {
+	for i, sum := range sums {
+		field := fmt.Sprintf("%s.key_sha256[%d]", holder, i)
+		if b, err := hex.DecodeString(sum); err != nil || len(b) != 32 {
+			c.add(field, "must be the 64 hex digits of a SHA-256")
+		}
+		c.differ(seen, field, sum)
+	}
+}
+
 func (c *checker) tenants(r *pb.Router, at string) {
 	names, keys, anonymous := map[string]bool{}, map[string]bool{}, false
 	for i, t := range r.GetTenants() {
 		c.differ(names, fmt.Sprintf("%stenants[%d].name", at, i), t.GetName())
-		for j, k := range t.GetKeySha256() {
-			field := fmt.Sprintf("%stenants[%d].key_sha256[%d]", at, i, j)
-			if b, err := hex.DecodeString(k); err != nil || len(b) != 32 {
-				c.add(field, "must be the 64 hex digits of a SHA-256")
-			}
-			c.differ(keys, field, k)
-		}
+		c.keys(keys, fmt.Sprintf("%stenants[%d]", at, i), t.GetKeySha256())
 		if t.GetAnonymous() && anonymous {
 			c.add(fmt.Sprintf("%stenants[%d].anonymous", at, i), "another tenant is the anonymous one")
 		}
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"strings"
@@ -576,7 +577,7 @@
 	a := v.Reason.Answer()
 	body := fmt.Sprintf(`{"error":{"message":%q,"type":%q,"param":null,"code":%q}}`, a.Message, a.Kind, a.Code)
 	var b strings.Builder
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n", a.Status, statusText(a.Status), len(body))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n", a.Status, http.StatusText(a.Status), len(body))
 	if v.Wait > 0 && a.Status != 408 {
 		fmt.Fprintf(&b, "Retry-After: %d\r\nRetry-After-Ms: %d\r\n", int(math.Ceil(v.Wait)), int(math.Ceil(v.Wait*1000)))
 	}
@@ -585,10 +586,6 @@
 	return []byte(b.String())
 }
 
-func statusText(status int) string {
-	return map[int]string{401: "Unauthorized", 408: "Request Timeout", 429: "Too Many Requests", 503: "Service Unavailable"}[status]
-}
-
 // watch logs refusals: a line a second and reason at most, however many there are.
 type watch struct {
 	log  *slog.Logger
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"cherryhub/decide"
 )
@@ -87,7 +88,7 @@
 	var all []int
 	for i := range p.engines {
 		e := &p.engines[i]
-		if e.ready && (e.role == decide.Reader) == reads && !contains(tried, i) {
+		if e.ready && (e.role == decide.Reader) == reads && !slices.Contains(tried, i) {
 			all = append(all, i)
 		}
 	}
@@ -117,15 +118,6 @@
 	return best
 }
 
-func contains(all []int, i int) bool {
-	for _, one := range all {
-		if one == i {
-			return true
-		}
-	}
-	return false
-}
-
 // mix spreads a number's bits (the finalizer of SplitMix64, Steele and others, 2014).
 func mix(x uint64) uint64 {
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -94,20 +94,13 @@
 type AdmissionStatus struct {
 	On          bool              `json:"on"`
 	Descriptors string            `json:"descriptors,omitempty"`
-	Rooms       []RoomStatus      `json:"rooms,omitempty"`
+	Rooms       []admit.RoomUse   `json:"rooms,omitempty"`
 	Let         uint64            `json:"let_in"`
 	Refused     map[string]uint64 `json:"refused,omitempty"`
 	Ended       map[string]uint64 `json:"ended,omitempty"`
 	Holders     []HolderStatus    `json:"holders,omitempty"`
 }
 
-// RoomStatus is how much of a room is used.
-type RoomStatus struct {
-	Name string `json:"name"`
-	Used int    `json:"used"`
-	Most int    `json:"most"`
-}
-
 // HolderStatus is one who holds connections.
 type HolderStatus struct {
 	Name        string `json:"name"`
@@ -126,8 +119,7 @@
 	}
 	f, top := r.door.Figures(holdersTold)
 	s := AdmissionStatus{On: true, Descriptors: r.divided.String(), Let: f.Let, Refused: map[string]uint64{}, Ended: map[string]uint64{},
-		Rooms: []RoomStatus{{"common", f.Common, f.CommonMost}, {"reserve", f.Connections - f.Common - f.Anteroom, f.Reserve},
-			{"anteroom", f.Anteroom, f.AnteroomMost}, {"leaving", f.Leaving, r.divided.Leaving}, {"completions", f.Completions, f.CompletionsMost}}}
+		Rooms: append(f.Rooms(), admit.RoomUse{Name: "leaving", Used: f.Leaving, Most: r.divided.Leaving})}
 	for i := range admit.Reason(admit.Reasons) {
 		if n := f.Refused[i]; n > 0 {
 			s.Refused[i.String()] = n
--- a/internal/telemetry/admission.go
+++ b/internal/telemetry/admission.go
@@ -46,13 +46,9 @@
 		to <- prometheus.MustNewConstMetric(d.ended, prometheus.CounterValue, float64(f.Ended[r]), r.String())
 	}
 	to <- prometheus.MustNewConstMetric(d.let, prometheus.CounterValue, float64(f.Let))
-	for _, room := range []struct {
-		name       string
-		used, most int
-	}{{"common", f.Common, f.CommonMost}, {"reserve", f.Connections - f.Common - f.Anteroom, f.Reserve}, {"anteroom", f.Anteroom, f.AnteroomMost},
-		{"completions", f.Completions, f.CompletionsMost}} {
-		to <- prometheus.MustNewConstMetric(d.used, prometheus.GaugeValue, float64(room.used), room.name)
-		to <- prometheus.MustNewConstMetric(d.most, prometheus.GaugeValue, float64(room.most), room.name)
+	for _, room := range f.Rooms() {
+		to <- prometheus.MustNewConstMetric(d.used, prometheus.GaugeValue, float64(room.Used), room.Name)
+		to <- prometheus.MustNewConstMetric(d.most, prometheus.GaugeValue, float64(room.Most), room.Name)
 	}
 	to <- prometheus.MustNewConstMetric(d.addrs, prometheus.GaugeValue, float64(f.Addresses))
 }
