An engine of another mark, start, role or place gets a record of its own

Seen (tests that failed first): a reused index whose start is not told or older kept its predecessor's 2,000 claimed tokens, 0.51 of failures, 440 tokens out and a report of 37,600 tokens; an engine listed under another role had 240 tokens taken from one pool and given back to another for good; a dispatch of the life before told its failure (0.3) against the new one; a table of 8,193 claims was dropped whole, and keyless text was booked under key 0. Excluded: the planner's index rest (it only makes reuse rarer), the load report (it fades within a second, claims and failures don't). To blame: Listed reset only on f.Started > e.started and changed e.pool in place; Ended and learn book on d.e, which outlived the restart; learn made a new map at claimsMost; learn stored p.Session and p.Shared unasked. Now a record is of one life of one engine: Listed puts a fresh one at the index and the old one, Gone, takes the ends of what was out. Claims stand in two generations of half the bound each, the older is dropped at the bound or after keepsFor. A probe's result of an unlisted engine, and negative indices, are left out instead of a panic.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,7 +34,7 @@
 	sampleLeast = 1200.0 // tokens out an engine at which own work is half a sample of the others'
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
-	claimsMost  = 8192   // entries; an engine's table past this is nearly all stale, and is begun anew
+	claimsMost  = 8192   // entries; of an engine's table: nearly all are stale, and the older half goes
 	roomLeast   = 0.1    // share of memory; kept text has so much even in an engine that looks full
 	proofLeast  = 600.0  // tokens; a claim smaller than this proves nothing about the engine's others
 	failGain    = 0.3    // weight of one outcome in an engine's failures: three in a row make it ill
@@ -83,13 +83,14 @@
 	pool             *pool
 	memory, started  float64
 	load             [2]load
-	kept             map[uint64]claim
-	written          float64       // tokens it came to keep for this router, in all
-	fails, failsAt   float64       // share of failures, and when it was that
-	slow, slowAt     float64       // log of its time against its pool's, and when
-	heard, reportAt  float64       // when it last did what it was asked, and when it last reported
-	coldLeft, coldAt float64       // dispatches left in this half window while it is cold, and when that began
-	asking           []*Completion // for the result of its probe
+	kept             [2]map[uint64]claim // claimed lately, and before that
+	keptAt           float64             // when the lately claimed began
+	written          float64             // tokens it came to keep for this router, in all
+	fails, failsAt   float64             // share of failures, and when it was that
+	slow, slowAt     float64             // log of its time against its pool's, and when
+	heard, reportAt  float64             // when it last did what it was asked, and when it last reported
+	coldLeft, coldAt float64             // dispatches left in this half window of a cold engine, and its begin
+	asking           []*Completion       // for the result of its probe
 }
 
 // load is what this router has out at an engine, what the engine reported, and what was out then.
@@ -188,7 +189,8 @@
 
 func (r *Router) Due() { r.do.Watch() }
 
-// Listed takes news of the engines. A new start time empties what the engine was held to keep.
+// Listed takes news of the engines. Another mark, role, place or start time is another engine, whatever its
+// index: it starts with an empty record, and what is still out at the one before ends on that one's.
 func (r *Router) Listed(kind List, facts []Fact) {
 	if kind == ListFailed {
 		r.do.WakeRouter(watchAgain * (0.5 + r.chance())) // only those who ask hear of it
@@ -200,22 +202,20 @@
 		}
 	}
 	for _, f := range facts {
-		for len(r.engines) <= f.Engine {
-			r.engines = append(r.engines, &engine{id: len(r.engines), reportAt: math.Inf(-1), pool: &r.pools[Mixed]})
-		}
-		e := r.engines[f.Engine]
-		if e.kept == nil || f.Started > e.started {
-			e.kept, e.fails, e.slow, e.heard = map[uint64]claim{}, 0, 0, 0
-			e.reportAt, e.coldAt = math.Inf(-1), math.Inf(-1)
+		if f.Engine < 0 || f.Cell < 0 || f.Kind < 0 {
+			r.do.Log(fmt.Sprintf("engine %d, cell %d, kind %d: wanted from 0, left out", f.Engine, f.Cell, f.Kind))
+			continue
 		}
-		e.zone, e.cell, e.phase, e.started, e.mark = f.Zone, f.Cell, f.Phase, f.Started, f.Mark
-		if e.role, e.memory = Mixed, memoryGuess; f.Kind < len(r.roles) {
-			e.role = r.roles[f.Kind]
+		for len(r.engines) <= f.Engine {
+			r.engines = append(r.engines, r.newEngine(Fact{Engine: len(r.engines)}))
 		}
-		e.pool = &r.pools[e.role]
-		if f.Kind < len(r.memory) && r.memory[f.Kind] > 0 {
-			e.memory = r.memory[f.Kind]
+		e := r.newEngine(f)
+		if was := r.engines[f.Engine]; was.is(e) {
+			e = was
+		} else {
+			was.phase, r.engines[f.Engine] = Gone, e
 		}
+		e.phase = f.Phase
 	}
 	for i := range r.pools {
 		r.pools[i].size = 0
@@ -232,6 +232,26 @@
 	}
 }
 
+// newEngine is the record of an engine of which nothing is known but the list's word.
+func (r *Router) newEngine(f Fact) *engine {
+	e := &engine{id: f.Engine, zone: f.Zone, cell: f.Cell, mark: f.Mark, role: Mixed, memory: memoryGuess,
+		started: f.Started, keptAt: r.now, reportAt: math.Inf(-1), coldAt: math.Inf(-1)}
+	if f.Kind < len(r.roles) {
+		e.role = r.roles[f.Kind]
+	}
+	if f.Kind < len(r.memory) && r.memory[f.Kind] > 0 {
+		e.memory = r.memory[f.Kind]
+	}
+	e.pool = &r.pools[e.role]
+	return e
+}
+
+// is tells whether two records are of one life of one engine.
+func (e *engine) is(o *engine) bool {
+	return e.mark == o.mark && e.started == o.started && e.role == o.role && e.memory == o.memory &&
+		e.zone == o.zone && e.cell == o.cell
+}
+
 // enough tells how far the readers of a cell are enough for the work of its writers: 1 or more if they are.
 func (r *Router) enough(cell int) float64 {
 	readers, writers := r.cells[cell][0]/r.pools[Reader].size, r.pools[Writer].size+r.pools[Mixed].size
@@ -240,6 +260,9 @@
 
 // Probed takes what a probe found. A failed probe counts as a failure.
 func (r *Router) Probed(id int, o Outcome, report []float64) {
+	if id < 0 || id >= len(r.engines) {
+		return // never listed
+	}
 	e := r.engines[id]
 	if r.reported(e, report); o != Finished && o != Full {
 		r.judge(e, 1)
@@ -350,7 +373,10 @@
 func (r *Router) keeps(e *engine, p *Prompt) float64 {
 	most, room := 0.0, math.Max(roomLeast*e.memory, e.memory-r.all(e, held))
 	for i, key := range [...]uint64{p.Session, p.Shared} {
-		c, found := e.kept[key]
+		c, found := e.kept[0][key]
+		if !found {
+			c, found = e.kept[1][key]
+		}
 		if key == 0 || !found || r.now-c.at > keepsFor || (e.written-c.mark)*(1+r.others*e.pool.sample()) > room {
 			continue
 		}
@@ -365,13 +391,19 @@
 // learn books that an engine has the prompt now. Less than half found of what it was held to keep empties its
 // table (below 0: not told). That guards against wrong tables; it harms when one text was pushed out.
 func (r *Router) learn(e *engine, p *Prompt, claimed, found float64) {
-	if found >= 0 && claimed >= proofLeast && found < claimed/2 || len(e.kept) > claimsMost {
-		r.do.Log(fmt.Sprintf("engine %d: drops %d claims, %.0f of %.0f found", e.id, len(e.kept), found, claimed))
-		e.kept = map[uint64]claim{}
+	switch {
+	case found >= 0 && claimed >= proofLeast && found < claimed/2:
+		r.do.Log(fmt.Sprintf("engine %d: drops its claims, %.0f of %.0f found", e.id, found, claimed))
+		e.kept, e.keptAt = [2]map[uint64]claim{{}, nil}, r.now
+	case e.kept[0] == nil || len(e.kept[0]) >= claimsMost/2-1 || r.now-e.keptAt > keepsFor:
+		e.kept, e.keptAt = [2]map[uint64]claim{{}, e.kept[0]}, r.now
 	}
 	e.written += p.Len - math.Max(found, 0)
-	e.kept[p.Session] = claim{p.Len, r.now, e.written}
-	e.kept[p.Shared] = claim{p.SharedLen, r.now, e.written}
+	for i, key := range [...]uint64{p.Session, p.Shared} {
+		if key != 0 {
+			e.kept[0][key] = claim{[...]float64{p.Len, p.SharedLen}[i], r.now, e.written}
+		}
+	}
 }
 
 // cold is the cold budget: in each half window a started engine takes this router's part of the multiple
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -463,3 +463,102 @@
 	_, err := New(Settings{}, &book{})
 	assert.ErrorContains(t, err, "no workloads")
 }
+
+// TestAnotherEngine: what was learned of an engine ends with it. A reused index, an older start, a start no longer
+// told, another role or place tell of another engine; its predecessor's dispatches end without touching its books.
+func TestAnotherEngine(t *testing.T) {
+	for name, change := range map[string]func(*Fact){
+		"its index, no start told":  func(f *Fact) { f.Mark = 99 },
+		"its index, an older start": func(f *Fact) { f.Mark, f.Started = 99, -50 },
+		"its name, a later start":   func(f *Fact) { f.Started = 4 },
+		"its name, an older start":  func(f *Fact) { f.Started = -50 },
+		"its name, another role":    func(f *Fact) { f.Kind = 2 },
+		"its name, another place":   func(f *Fact) { f.Cell = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := start(t, func(s *Settings) { s.Columns = []string{"x0", "x1"} }, nil)
+			old := ready(0, 1, 0, -5)
+			r.Listed(ListFull, []Fact{old, ready(1, 1, 0, -5)})
+			h := r.Take(1, prompt(0, 200))
+			n := h.sent[0].e.id // the one that is to be replaced
+			old = ready(n, 1, 0, -5)
+			p := prompt(0, 2000)
+			r.learn(r.engines[n], &p, 0, -1)
+			r.Probed(n, Errored, []float64{0.9, 30})
+			r.Probed(n, Errored, nil)
+			before := old
+			change(&before)
+			r.Listed(ListDelta, []Fact{before})
+			fresh := func() {
+				e := r.engines[n]
+				assert.Zero(t, r.keeps(e, &p), "claims")
+				assert.Zero(t, r.fails(e), "failures")
+				assert.Zero(t, e.load[held].out+e.load[work].out, "load out")
+				assert.Less(t, r.cost(e, 0), 2*overhead, "reported load")
+			}
+			fresh()
+			r.At(1)
+			h.Ended(0, Broken, 1, true, 0, []float64{0.9, 30})
+			fresh()
+			for i := range r.pools {
+				assert.InDelta(t, 0, r.pools[i].out[held].value, 1e-6, "no pool has anything out")
+			}
+		})
+	}
+}
+
+// TestSameEngine: news that tells of the same engine takes nothing away.
+func TestSameEngine(t *testing.T) {
+	r, _ := start(t, nil, []Fact{ready(0, 1, 0, longAgo)})
+	p := prompt(0, 2000)
+	r.learn(r.engines[0], &p, 0, -1)
+	for _, phase := range []Phase{Draining, Gone, Ready} {
+		f := ready(0, 1, 0, longAgo)
+		f.Phase = phase
+		r.Listed(ListDelta, []Fact{f})
+	}
+	assert.Equal(t, 2000.0, r.keeps(r.engines[0], &p))
+}
+
+// TestClaimsBounded: a full table gives up its older half, never what was claimed just now; keyless text is no claim.
+func TestClaimsBounded(t *testing.T) {
+	r, _ := start(t, nil, []Fact{ready(0, 1, 0, longAgo)})
+	e := r.engines[0]
+	e.memory = 1e12
+	claims := func() (n int) {
+		for _, k := range e.kept {
+			n += len(k)
+		}
+		return n
+	}
+	p := prompt(0, 100)
+	p.Session = 0
+	r.learn(e, &p, 0, -1)
+	assert.Zero(t, claims(), "no session, no shared beginning")
+	for i := range uint64(3 * claimsMost) {
+		p.Session = i + 1
+		r.learn(e, &p, 0, -1)
+		require.LessOrEqual(t, claims(), claimsMost)
+		if last := p; i >= claimsMost/2 && i%97 == 0 {
+			for back := range uint64(claimsMost / 2) {
+				last.Session = i + 1 - back
+				require.Equal(t, 100.0, r.keeps(e, &last), "claim %d of %d", i-back, i)
+			}
+		}
+	}
+	r.At(keepsFor + 1)
+	r.learn(e, &p, 0, -1)
+	r.At(2*keepsFor + 2)
+	r.learn(e, &p, 0, -1)
+	assert.LessOrEqual(t, claims(), 2, "what has lapsed is given up with time too")
+}
+
+func TestUnknownEngine(t *testing.T) {
+	r, b := start(t, nil, fleet())
+	for _, id := range []int{-1, 4, 1 << 30} {
+		assert.NotPanics(t, func() { r.Probed(id, Errored, nil) }, "a probe's result of an engine that was never listed")
+	}
+	assert.NotPanics(t, func() { r.Listed(ListDelta, []Fact{{Engine: -1}, {Engine: 4, Cell: -1}}) })
+	assert.Len(t, r.engines, 4)
+	assert.Empty(t, b.flush())
+}
