An age below 0 in the list counts as just started, not as long ago

Seen: age_s of -0.2, as an engine whose clock runs ahead of the list service's gets in its first moments, came through as it was, and every age below 0 means long ago: the cold budget was off just when the engine was coldest. Excluded: an age left out, which means long ago by the protocol and stays so. To blame: fleet.go apply, age = *e.Age. Test before: ages -0.2, -1, 3; now 0, -1, 3.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,7 +11,8 @@
 //	{"kind":"alive","epoch":3,"version":42}
 //
 // epoch grows with each start of the service, version with each change; a delta's is the one before it plus
-// one. start tells two starts of an engine apart; age_s is its age when the line is sent, left out for long ago.
+// one. start tells two starts of an engine apart; age_s is its age when the line is sent, left out for long ago;
+// below 0 it counts as 0.
 // A file holds one line of the kind "full", as does the answer to a GET without watch=1: where the settings say
 // that the service is to be asked, it is, each poll.
 package fleet
@@ -302,7 +303,7 @@
 	for _, e := range l.Engines {
 		age := -1.0
 		if e.Age != nil {
-			age = *e.Age
+			age = max(0, *e.Age) // an engine's clock may run ahead: it has only just started
 		}
 		list.Entries = append(list.Entries, link.Entry{Address: e.Address, Zone: e.Zone, Cell: e.Cell, Machine: e.Machine,
 			Phase: phases[e.Phase], Start: e.Start, Age: age})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -161,3 +161,12 @@
 		}
 	})
 }
+
+// TestNegativeAge: an engine's clock that runs ahead of the service's makes it just started, not long ago.
+func TestNegativeAge(t *testing.T) {
+	var told link.Fact
+	f := New(Options{MaxEngines: 8, Tell: func(l link.Fact) { told = l }, Log: slog.New(slog.DiscardHandler)})
+	require.NoError(t, f.Take([]byte(`{"kind":"full","epoch":1,"version":1,"engines":[{"address":"10.0.0.1:1","phase":"ready","start":7,"age_s":-0.2},
+		{"address":"10.0.0.2:1","phase":"ready"},{"address":"10.0.0.3:1","phase":"ready","age_s":3}]}`)))
+	assert.Equal(t, []float64{0, -1, 3}, []float64{told.List.Entries[0].Age, told.List.Entries[1].Age, told.List.Entries[2].Age})
+}
