The planner's tables are bounded; what a list leaves out has a stated stand-in

Seen, each by a test that failed first: 5,000 lists that named a new zone and cell each left 5,000 indices of either (and as many of decide's cells), now 9 with room for 4 engines; an engine whose start was no longer told, one whose restart came without an age, and one gone and back without either counted as started long ago, so its cold budget was off: started -1e9, now what was known, the time of the news, the time of the news; a start at exactly the planner's 0 s was read anew with each list; a line that says only that an engine is gone moved it to a zone and cell of no name, made it a mixed one, and gave an index to an engine that was never there; a late probe's result went by index to whoever has the index now; a planner that stood still for 50,000 reports and lists held 100,001 facts, now under 100; Run did not end while facts came. Excluded: offers, timers and what tells of completions, which had bounds that hold (TestMailbox, TestTimersBounded). To blame: names.index, facts (k.started == 0 as a mark), handle's lookup by f.Engine, mailbox.tell, Run's continue. Now names are held by engines, rest for 600 s and are at most two an engine; past that the engine is left out with an error that says so, as one that is gone. Facts name engines by address. Of an engine's reports the last waits; lists past 16 become one. In facts an engine's start follows rules that planner/engines.go states. decide, internal/wire and the adapter are untouched.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -102,7 +102,7 @@
 		if err != nil {
 			e.o.Log.Debug("probe failed", "engine", at.Address, "err", err)
 		}
-		e.planner.Tell(link.Fact{Kind: link.Probed, Engine: at.Index, Outcome: engine.ProbeOutcome(err), Report: report})
+		e.planner.Tell(link.Fact{Kind: link.Probed, Address: at.Address, Outcome: engine.ProbeOutcome(err), Report: report})
 	}()
 }
 
@@ -143,7 +143,7 @@
 	c := r.c
 	return &engine.Call{Address: r.engine.Address, ID: c.name + "-" + strconv.Itoa(r.n), Key: c.key, Trace: c.trace, Body: body,
 		Heard: func(report []float64) {
-			c.e.planner.Tell(link.Fact{Kind: link.Probed, Engine: r.engine.Index, Outcome: decide.Finished, Report: report})
+			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine.Address, Outcome: decide.Finished, Report: report})
 		}}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -20,7 +20,7 @@
 	Placed                  // a place was asked for: Dispatch, Held
 	Ended                   // a dispatch ended: Dispatch, Outcome, Took, Done, Found, Report
 	Left                    // the client left, or the edge had to answer for the planner
-	Probed                  // a probe ended, or a report came in an answer: Engine, Outcome, Report
+	Probed                  // a probe ended, or a report came in an answer: Address, Outcome, Report
 	Listed                  // news of the engines: List
 )
 
@@ -32,8 +32,7 @@
 	Done       bool // the completion has its answer
 	Held       bool
 	Dispatch   int    // number of the completion's dispatch, from 0
-	Engine     int    // index, as orders gave it
-	Address    string // of the engine instead, where no order gave the index
+	Address    string // of the engine; its index may be another's by now
 	Completion uint64
 	Took       float64   // seconds since the dispatch was sent
 	Found      float64   // prompt tokens found kept
--- a/internal/planner/engines.go
+++ b/internal/planner/engines.go
@@ -14,7 +14,8 @@
 const longAgo = -1e9 // seconds; the start of an engine of which none is told
 
 // engines maps what a list names to the small indices of decide, and back. Indices are handed out once and
-// only taken back from engines that are long gone, so a list that names ever new engines stays bounded.
+// only taken back from engines that are long gone, so a list that names ever new engines, zones or cells stays
+// bounded.
 type engines struct {
 	most     int
 	log      *slog.Logger
@@ -22,36 +23,71 @@
 	known    []known
 	zones    names
 	cells    names
-	machines names
+	machines map[string]int
 	roles    []decide.Role
 }
 
 type known struct {
 	address string
+	listed  bool
+	zone    string
+	cell    string
+	zoneAt  int // index of the zone
+	cellAt  int
+	machine int
 	role    decide.Role
 	phase   decide.Phase
-	start   int64
+	start   int64   // 0 while none was told
 	started float64 // on the planner's clock
 	goneAt  float64 // since when it is gone; +Inf while it is not
 }
 
-// names maps names to indices in order of their first use.
-type names map[string]int
+// names maps names to indices. A name is held by the engines that have it; one that nobody holds keeps its index
+// for indexRests, as dispatches may be out whose engine had it, and then makes room for another.
+type names struct {
+	most   int
+	byName map[string]int
+	all    []named
+}
+
+type named struct {
+	name    string
+	holders int
+	freed   float64 // since when nobody holds it
+}
 
-func (n names) index(name string) int {
-	i, found := n[name]
+func (n *names) hold(now float64, name string) (int, error) {
+	i, found := n.byName[name]
+	if !found && len(n.all) < n.most {
+		i, found = len(n.all), true
+		n.all = append(n.all, named{name: name})
+	}
+	for at := 0; !found && at < len(n.all); at++ {
+		if o := &n.all[at]; o.holders == 0 && now-o.freed > indexRests {
+			delete(n.byName, o.name)
+			i, found = at, true
+			*o = named{name: name}
+		}
+	}
 	if !found {
-		i = len(n)
-		n[name] = i
+		return 0, fmt.Errorf("%q: more than %d names of zones or cells (list.max_engines allows two an engine), and none rested for %v s", name, n.most, indexRests)
 	}
-	return i
+	n.byName[name] = i
+	n.all[i].holders++
+	return i, nil
+}
+
+func (n *names) drop(now float64, i int) {
+	n.all[i].holders--
+	n.all[i].freed = now
 }
 
 func newEngines(most int, machines []Machine, zone string, log *slog.Logger) *engines {
-	t := &engines{most: most, log: log, byName: map[string]int{}, zones: names{}, cells: names{}, machines: names{}}
-	t.zones.index(zone)
-	for _, m := range machines {
-		t.machines.index(m.Name)
+	t := &engines{most: most, log: log, byName: map[string]int{}, zones: names{most: 2*most + 1, byName: map[string]int{}},
+		cells: names{most: 2*most + 1, byName: map[string]int{}}, machines: map[string]int{}}
+	t.zones.hold(0, zone) //nolint:errcheck // the first one has room, and is never dropped
+	for i, m := range machines {
+		t.machines[m.Name] = i
 		t.roles = append(t.roles, m.Role)
 	}
 	return t
@@ -62,46 +98,110 @@
 	facts := make([]decide.Fact, 0, len(l.Entries))
 	listed := map[int]bool{}
 	for _, e := range l.Entries {
+		if e.Phase == decide.Gone { // nothing else need be told with it
+			if i, found := t.byName[e.Address]; found {
+				facts = append(facts, t.gone(now, i))
+			}
+			continue
+		}
 		i, err := t.index(now, e.Address)
 		if err != nil {
 			t.log.Error("engine left out", "engine", e.Address, "err", err)
 			continue
 		}
 		k := &t.known[i]
-		// A restart shows as another start. Within one start the age is read once: each list tells it a little
-		// later, and decide takes a later start for a restart.
-		if k.start != e.Start || k.started == 0 || k.phase == decide.Gone && e.Start == 0 {
-			k.started = longAgo
-			if e.Age >= 0 {
-				k.started = now - e.Age
+		if err := t.place(now, k, &e); err != nil {
+			t.log.Error("engine left out", "engine", e.Address, "err", err)
+			if k.listed {
+				facts = append(facts, t.gone(now, i))
 			}
+			continue
 		}
+		k.starts(now, &e)
 		machine, told := t.machines[e.Machine]
 		if !told { // decide takes it for a mixed one with a middling memory
 			t.log.Warn("engine of a machine kind that is not in the settings", "engine", e.Address, "machine", e.Machine)
 			machine = len(t.roles)
 		}
-		k.start, k.phase, k.goneAt, k.role = e.Start, e.Phase, math.Inf(1), decide.Mixed
+		k.listed, k.phase, k.goneAt, k.machine, k.role = true, e.Phase, math.Inf(1), machine, decide.Mixed
 		if told {
 			k.role = t.roles[machine]
 		}
-		if e.Phase == decide.Gone {
-			k.goneAt = now
-		}
 		listed[i] = true
-		facts = append(facts, decide.Fact{Engine: i, Mark: xxhash.Sum64String(e.Address), Zone: t.zones.index(e.Zone),
-			Kind: machine, Cell: t.cells.index(e.Zone + "\x00" + e.Cell), Phase: e.Phase, Started: k.started})
+		facts = append(facts, t.fact(i))
 	}
 	if l.Kind == decide.ListFull || l.Kind == decide.ListCached {
 		for i := range t.known {
 			if k := &t.known[i]; !listed[i] && k.phase != decide.Gone {
-				k.phase, k.goneAt = decide.Gone, now
+				t.gone(now, i)
 			}
 		}
 	}
 	return facts
 }
 
+// gone books that an engine has gone; it holds its names until its index is another's.
+func (t *engines) gone(now float64, i int) decide.Fact {
+	k := &t.known[i]
+	if k.phase != decide.Gone {
+		k.phase, k.goneAt = decide.Gone, now
+	}
+	return t.fact(i)
+}
+
+func (t *engines) fact(i int) decide.Fact {
+	k := &t.known[i]
+	return decide.Fact{Engine: i, Mark: xxhash.Sum64String(k.address), Zone: k.zoneAt, Kind: k.machine, Cell: k.cellAt, Phase: k.phase, Started: k.started}
+}
+
+// starts finds when an engine started. A restart shows as another start. Within one start the age is read once:
+// each list tells it a little later, and decide takes another start time for another engine. Where a list leaves
+// the start out, what was told before stays, unless the engine was gone meanwhile. Where a restart was seen and no
+// age is told, it is as young as it can be: taken for long ago it would be pushed over while cold. That harms an
+// engine that the list had only lost from sight, by a cold one's share of work for as long as engines warm up.
+func (k *known) starts(now float64, e *link.Entry) {
+	again := k.listed && (e.Start != k.start && e.Start != 0 && k.start != 0 ||
+		e.Start == 0 && k.phase == decide.Gone)
+	if k.listed && !again && (e.Start == 0 || e.Start == k.start) {
+		return
+	}
+	switch k.start = e.Start; {
+	case e.Age >= 0:
+		k.started = now - e.Age
+	case again:
+		k.started = now
+	default:
+		k.started = longAgo
+	}
+}
+
+// place has an engine hold the names of where it is.
+func (t *engines) place(now float64, k *known, e *link.Entry) error {
+	if k.listed && k.zone == e.Zone && k.cell == e.Cell {
+		return nil
+	}
+	zone, err := t.zones.hold(now, e.Zone)
+	if err != nil {
+		return err
+	}
+	cell, err := t.cells.hold(now, e.Zone+"\x00"+e.Cell)
+	if err != nil {
+		t.zones.drop(now, zone)
+		return err
+	}
+	t.leave(now, k)
+	k.zone, k.cell, k.zoneAt, k.cellAt = e.Zone, e.Cell, zone, cell
+	return nil
+}
+
+// leave gives up the names that an engine holds, if it was ever listed.
+func (t *engines) leave(now float64, k *known) {
+	if k.listed {
+		t.zones.drop(now, k.zoneAt)
+		t.cells.drop(now, k.cellAt)
+	}
+}
+
 const indexRests = 600.0 // seconds that an engine is gone before its index may serve another
 
 func (t *engines) index(now float64, address string) (int, error) {
@@ -109,15 +209,16 @@
 		return i, nil
 	}
 	if len(t.known) < t.most {
-		t.known = append(t.known, known{address: address, goneAt: math.Inf(1)})
+		t.known = append(t.known, known{address: address, goneAt: now})
 		t.byName[address] = len(t.known) - 1
 		return len(t.known) - 1, nil
 	}
 	for i := range t.known {
 		if k := &t.known[i]; now-k.goneAt > indexRests {
 			delete(t.byName, k.address)
+			t.leave(now, k)
 			t.byName[address] = i
-			*k = known{address: address, goneAt: math.Inf(1)}
+			*k = known{address: address, goneAt: now}
 			return i, nil
 		}
 	}
--- a/internal/planner/mailbox.go
+++ b/internal/planner/mailbox.go
@@ -1,28 +1,37 @@
 package planner
 
 import (
+	"slices"
 	"sync"
 
+	"cherryhub/decide"
 	"cherryhub/internal/link"
 )
 
 // mailbox holds the facts that the planner has not yet read. Offers are bounded by a limit of their own and
-// by the completions that are open; all other facts are told of something that was already let in (a
-// completion, a probe, a list) and never refused, so that their number is bounded with it. Its guard: a stalled planner
-// must neither block those who tell it something nor let memory grow. It would harm if a burst within a
-// healthy planner's few milliseconds passed the limit: then completions are refused that could be served.
+// by the completions that are open; all other facts are never refused. What tells of a completion is bounded with
+// the completions; of each engine's reports the last one waits; lists past listsMost become one with the last.
+// Its guard: a stalled planner must neither block those who tell it something nor let memory grow. It would harm if
+// a burst within a healthy planner's few milliseconds passed the limit: then completions are refused that could be
+// served.
 type mailbox struct {
 	mu     sync.Mutex
 	facts  []link.Fact
-	offers int // among them
-	open   int // completions taken, and not yet closed by the planner
-	most   int // offers that may wait
-	mostIn int // completions that may be open
+	probed map[string]int // where an engine's report waits, by address
+	lists  int            // that wait
+	list   int            // where the last of them waits
+	offers int            // that wait
+	open   int            // completions taken, and not yet closed by the planner
+	most   int            // offers that may wait
+	mostIn int            // completions that may be open
 	ring   chan struct{}
 }
 
+// listsMost is how many lists may wait: more than come in a healthy planner's few milliseconds.
+const listsMost = 16
+
 func newMailbox(most, mostIn int) *mailbox {
-	return &mailbox{most: most, mostIn: mostIn, ring: make(chan struct{}, 1)}
+	return &mailbox{most: most, mostIn: mostIn, probed: map[string]int{}, ring: make(chan struct{}, 1)}
 }
 
 func (m *mailbox) offer(f link.Fact) bool {
@@ -40,11 +49,51 @@
 
 func (m *mailbox) tell(f link.Fact) {
 	m.mu.Lock()
-	m.facts = append(m.facts, f)
+	switch at, waits := m.probed[f.Address]; {
+	case f.Kind == link.Probed && waits:
+		m.facts[at] = f
+	case f.Kind == link.Listed && m.lists >= listsMost:
+		last := &m.facts[m.list]
+		last.List = merged(last.List, f.List)
+	default:
+		switch f.Kind {
+		case link.Probed:
+			m.probed[f.Address] = len(m.facts)
+		case link.Listed:
+			m.lists++
+			m.list = len(m.facts)
+		}
+		m.facts = append(m.facts, f)
+	}
 	m.mu.Unlock()
 	m.wake()
 }
 
+// merged is two lists as one: the later word on an engine counts. An engine that was gone in between is told as
+// just started where its start is not told, since nothing else would show that it was gone.
+func merged(before, after *link.List) *link.List {
+	at, all := map[string]int{}, &link.List{Kind: after.Kind}
+	if after.Kind == decide.ListDelta {
+		all.Kind = before.Kind
+		all.Entries = slices.Clone(before.Entries)
+	}
+	for i, e := range before.Entries {
+		at[e.Address] = i
+	}
+	for _, e := range after.Entries {
+		i, there := at[e.Address]
+		if there && before.Entries[i].Phase == decide.Gone && e.Phase != decide.Gone && e.Start == 0 && e.Age < 0 {
+			e.Age = 0
+		}
+		if there && after.Kind == decide.ListDelta {
+			all.Entries[i] = e
+		} else {
+			all.Entries = append(all.Entries, e)
+		}
+	}
+	return all
+}
+
 func (m *mailbox) wake() {
 	select {
 	case m.ring <- struct{}{}:
@@ -58,7 +107,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	batch := m.facts
-	m.facts, m.offers = used[:0], 0
+	m.facts, m.offers, m.lists = used[:0], 0, 0
+	clear(m.probed)
 	return batch
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -107,7 +107,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var batch []link.Fact
-	for {
+	for ctx.Err() == nil {
 		batch = p.box.take(batch)
 		began := time.Now()
 		for i := range batch {
@@ -163,14 +163,7 @@
 		p.take(f)
 		return
 	case link.Probed:
-		at := f.Engine
-		if f.Address != "" {
-			known := false
-			if at, known = p.engines.byName[f.Address]; !known {
-				return
-			}
-		}
-		if at < len(p.engines.known) {
+		if at, known := p.engines.byName[f.Address]; known { // else it has left the list since it was asked
 			p.router.Probed(at, f.Outcome, f.Report)
 		}
 		return
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -196,6 +196,163 @@
 	assert.Equal(t, "10.0.0.3:8000", e.name(1).Address)
 }
 
+// TestNamesBounded: names of zones and cells go with the engines that had them, so a list that names ever new ones
+// stays bounded; a name in use keeps its index, and one given up rests before it means something else.
+func TestNamesBounded(t *testing.T) {
+	e := newEngines(4, nil, "home", slog.New(slog.DiscardHandler))
+	stays := entry(1, "read", decide.Ready)
+	stays.Zone, stays.Cell = "home", "h1"
+	last, most := -1, 0
+	for i := range 5000 {
+		other := entry(2+i%3, "read", decide.Ready)
+		other.Zone, other.Cell = fmt.Sprint("zone", i), fmt.Sprint("cell", i)
+		for _, f := range e.facts(float64(i*100), &link.List{Kind: decide.ListFull, Entries: []link.Entry{stays, other}}) {
+			most = max(most, f.Zone, f.Cell)
+			if f.Engine == 0 {
+				require.Zero(t, f.Zone, "the own zone")
+				require.Zero(t, f.Cell)
+				continue
+			}
+			require.NotEqual(t, last, f.Cell, "an index that was just given up rests")
+			require.Equal(t, f, e.facts(float64(i*100), &link.List{Kind: decide.ListDelta, Entries: []link.Entry{other}})[0], "a name has one index")
+			last = f.Cell
+		}
+	}
+	assert.LessOrEqual(t, most, 2*4)
+	// Names that change faster than they rest have the engine left out, and all who stay go on.
+	for i := range 50 {
+		other := entry(2, "read", decide.Ready)
+		other.Cell = fmt.Sprint("hasty", i)
+		facts := e.facts(1e6, &link.List{Kind: decide.ListDelta, Entries: []link.Entry{stays, other}})
+		if i >= 20 {
+			require.Equal(t, decide.Gone, facts[1].Phase, "not where it was")
+		}
+		require.LessOrEqual(t, len(e.cells.all), 2*4+1)
+		require.Zero(t, facts[0].Engine)
+	}
+}
+
+// TestMissingStart: what a list doesn't tell of an engine's start has a stated stand-in.
+func TestMissingStart(t *testing.T) {
+	with := func(start int64, age float64, phase decide.Phase) link.Entry {
+		one := entry(1, "read", phase)
+		one.Start, one.Age = start, age
+		return one
+	}
+	for name, c := range map[string]struct {
+		first, next link.Entry
+		want        float64 // started, as the second list at 100 s tells it; the first comes at 10 s
+	}{
+		"no start any more, same engine":         {with(77, 3, decide.Ready), with(0, -1, decide.Ready), 7},
+		"a start told for the first time":        {with(0, -1, decide.Ready), with(77, 200, decide.Ready), -100},
+		"a restart, its age not told":            {with(77, 3, decide.Ready), with(78, -1, decide.Ready), 100},
+		"an older process at the address":        {with(77, 3, decide.Ready), with(70, 500, decide.Ready), -400},
+		"gone and back, nothing told":            {with(0, -1, decide.Gone), with(0, -1, decide.Ready), 100},
+		"gone and back, its age told":            {with(0, -1, decide.Gone), with(0, 2, decide.Ready), 98},
+		"drains, and is back, nothing told":      {with(0, -1, decide.Draining), with(0, -1, decide.Ready), longAgo},
+		"started when the planner's clock began": {with(77, 10, decide.Ready), with(77, 200, decide.Ready), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngines(4, nil, "home", slog.New(slog.DiscardHandler))
+			ready := c.first
+			ready.Phase = decide.Ready
+			e.facts(10, &link.List{Kind: decide.ListFull, Entries: []link.Entry{ready}})
+			e.facts(50, &link.List{Kind: decide.ListDelta, Entries: []link.Entry{c.first}})
+			assert.Equal(t, c.want, e.facts(100, &link.List{Kind: decide.ListDelta, Entries: []link.Entry{c.next}})[0].Started)
+		})
+	}
+}
+
+// TestGoneLine: a line that an engine is gone may tell nothing else. It takes nothing from what is known, and gives
+// no index to an engine that was never there.
+func TestGoneLine(t *testing.T) {
+	e := newEngines(4, []Machine{{"read", decide.Reader}}, "home", slog.New(slog.DiscardHandler))
+	there := entry(1, "read", decide.Ready)
+	there.Start, there.Age = 77, 3
+	first := e.facts(10, &link.List{Kind: decide.ListFull, Entries: []link.Entry{there}})[0]
+	bare := func(n int) link.Entry {
+		return link.Entry{Address: entry(n, "", 0).Address, Phase: decide.Gone, Age: -1}
+	}
+	gone := e.facts(20, &link.List{Kind: decide.ListDelta, Entries: []link.Entry{bare(1), bare(2)}})
+	want := first
+	want.Phase = decide.Gone
+	assert.Equal(t, []decide.Fact{want}, gone)
+	assert.Len(t, e.known, 1)
+	assert.Equal(t, first, e.facts(30, &link.List{Kind: decide.ListDelta, Entries: []link.Entry{there}})[0], "the same life of it")
+}
+
+// TestReusedIndex: a probe's result goes to the engine that was asked, not to the one that has its index now; and the
+// new one inherits nothing, though neither's start is told.
+func TestReusedIndex(t *testing.T) {
+	p, b := planner(t, func(s *decide.Settings, o *Options) { o.MaxEngines = 2; s.Columns = []string{"x0", "x1"} })
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready), entry(2, "write", decide.Ready)))
+	p.step()
+	full := link.Fact{Kind: link.Probed, Address: entry(2, "", 0).Address, Outcome: decide.Finished, Report: []float64{1, 900}}
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	p.step()
+	p.start = p.start.Add(-(indexRests + 1) * time.Second)
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready), entry(3, "write", decide.Ready)))
+	p.Tell(full)
+	for range 4 {
+		p.Tell(link.Fact{Kind: link.Probed, Address: entry(1, "", 0).Address, Outcome: decide.Finished, Report: []float64{0.9, 1}})
+	}
+	p.Offer(take(1, 0, 100, time.Second))
+	p.step()
+	require.Len(t, b.of(link.Dispatch), 1)
+	assert.Equal(t, entry(3, "", 0).Address, b.of(link.Dispatch)[0].Engine.Address, "the late report of 2 is not 3's")
+}
+
+// TestStalledMailbox: while the planner stands still, news and reports come by the thousand and what waits stays
+// bounded; when it goes on it knows the last of each.
+func TestStalledMailbox(t *testing.T) {
+	p, b := planner(t, func(s *decide.Settings, _ *Options) { s.Columns = []string{"x0", "x1"} })
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready), entry(2, "write", decide.Ready), entry(3, "write", decide.Ready)))
+	for i := range 50000 {
+		n := 1 + i%3
+		p.Tell(link.Fact{Kind: link.Probed, Address: entry(n, "", 0).Address, Outcome: decide.Finished, Report: []float64{float64(n) / 4, 1}})
+		phase := []decide.Phase{decide.Ready, decide.Draining, decide.Gone}[n-1]
+		p.Tell(fleet(decide.ListDelta, entry(n, "write", phase)))
+	}
+	waiting, _ := p.box.sizes()
+	assert.Less(t, waiting, 100)
+	p.step()
+	for id := range uint64(20) {
+		p.Offer(take(id+1, 0, 100, time.Second))
+	}
+	p.step()
+	for _, o := range b.of(link.Dispatch) {
+		assert.Equal(t, entry(1, "", 0).Address, o.Engine.Address, "the one that is ready by the last news")
+	}
+	require.Len(t, b.of(link.Dispatch), 16, "as many as may wait")
+	p.Tell(fleet(decide.ListFull, entry(2, "write", decide.Ready)))
+	for range 100 {
+		p.Tell(fleet(decide.ListDelta, entry(3, "write", decide.Ready)))
+		p.Tell(fleet(decide.ListDelta, entry(3, "write", decide.Gone)))
+	}
+	p.Tell(fleet(decide.ListFull, entry(4, "write", decide.Ready)))
+	p.step()
+	p.Offer(take(99, 0, 100, time.Second))
+	p.step()
+	sent := b.of(link.Dispatch)
+	assert.Equal(t, entry(4, "", 0).Address, sent[len(sent)-1].Engine.Address, "a whole list replaces all before it")
+}
+
+// TestRunEnds though facts never cease.
+func TestRunEnds(t *testing.T) {
+	p, _ := planner(t, nil)
+	ctx, end := context.WithCancel(context.Background())
+	p.delay = func(float64) { p.Tell(link.Fact{Kind: link.Left, Completion: 99}) } // each fact brings the next
+	p.Tell(link.Fact{Kind: link.Left, Completion: 99})
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	end()
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("it goes on")
+	}
+}
+
 // TestAnyOrder plays any legal course of facts and holds what is ordered to what every edge relies on.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -276,7 +433,8 @@
 				p.Tell(fleet(decide.ListDelta, entry(n, machines[min(n-1, 1)], decide.Phase(rapid.IntRange(0, 2).Draw(t, "phase")))))
 			},
 			"probe": func(t *rapid.T) {
-				p.Tell(link.Fact{Kind: link.Probed, Engine: rapid.IntRange(0, 9).Draw(t, "engine"), Outcome: decide.Finished, Report: []float64{math.NaN()}})
+				p.Tell(link.Fact{Kind: link.Probed, Address: entry(rapid.IntRange(0, 9).Draw(t, "engine"), "", 0).Address, Outcome: decide.Finished,
+					Report: []float64{math.NaN()}})
 			},
 			"time": func(t *rapid.T) {
 				d := rapid.Float64Range(0.001, 0.5).Draw(t, "seconds")
