--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,7 +37,10 @@
 // errTruncated is a stream that ended before its final event.
 var errTruncated = errors.New("stream ended before [DONE]")
 
-// Options of a client. All must be given but SourceAddress and MaxConns.
+// Dial makes a connection, as net.Dialer.DialContext does.
+type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options of a client. All must be given but SourceAddress, MaxConns and Dial.
 type Options struct {
 	ConnectTimeout time.Duration
 	ProbeTimeout   time.Duration
@@ -47,6 +50,7 @@
 	SourceAddress  string        // dial from this address, empty for any
 	MaxConns       int           // open at once to all engines, 0 for no bound
 	Figures        Figures       // where load reports are found
+	Dial           Dial          // in place of TCP from SourceAddress, nil for that
 }
 
 // Client makes dispatches. It is safe for concurrent use.
@@ -72,8 +76,11 @@
 	}
 	c := &Client{o: o}
 	dial := d.DialContext
+	if o.Dial != nil {
+		dial = o.Dial
+	}
 	if o.MaxConns > 0 {
-		c.dialer = newDialer(o.MaxConns, d.DialContext, func() { c.http.CloseIdleConnections() })
+		c.dialer = newDialer(o.MaxConns, dial, func() { c.http.CloseIdleConnections() })
 		dial = c.dialer.dial
 	}
 	c.http = &http.Client{
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,8 +89,9 @@
 	URL, File     string
 	Poll, Retry   time.Duration
 	MaxEngines    int
-	Ask           bool   // the service pushes nothing
-	SourceAddress string // dial from this address, empty for any
+	Ask           bool                                                                 // the service pushes nothing
+	SourceAddress string                                                               // dial from this address, empty for any
+	Dial          func(ctx context.Context, network, address string) (net.Conn, error) // in place of that, nil for TCP
 	Tell          func(link.Fact)
 	Log           *slog.Logger
 }
@@ -101,8 +102,12 @@
 	if ip := net.ParseIP(o.SourceAddress); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
+	dial := d.DialContext
+	if o.Dial != nil {
+		dial = o.Dial
+	}
 	return &Follower{url: o.URL, file: o.File, poll: o.Poll, retry: o.Retry, most: o.MaxEngines, ask: o.Ask, tell: o.Tell, log: o.Log,
-		client: &http.Client{Transport: &http.Transport{DialContext: d.DialContext, ResponseHeaderTimeout: quietMost}}}
+		client: &http.Client{Transport: &http.Transport{DialContext: dial, ResponseHeaderTimeout: quietMost}}}
 }
 
 // Run follows the list until the context ends.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -14,7 +13,6 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
-	"cherryhub/internal/loopback"
 	pb "cherryhub/proto"
 )
 
@@ -85,13 +83,7 @@
 }
 
 func (e *Engine) listen(address string) error {
-	var ln net.Listener
-	var err error
-	if host, port, _ := net.SplitHostPort(address); port == "0" {
-		ln, err = loopback.Listen(host)
-	} else {
-		ln, err = net.Listen("tcp", address)
-	}
+	ln, err := e.fleet.listen(address)
 	if err != nil {
 		return fmt.Errorf("engine %s: %w", e.name, err)
 	}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -16,6 +16,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cherryhub/internal/loopback"
 	pb "cherryhub/proto"
 )
 
@@ -27,6 +28,7 @@
 	List    *List
 	Engines []*Engine
 
+	listen    func(address string) (net.Listener, error)
 	settings  *pb.Fleet
 	record    Recorder
 	workloads map[string]work // by model
@@ -46,9 +48,22 @@
 	w     *pb.Workload
 }
 
-// Start starts a fleet for a router's workloads.
+// Start starts a fleet for a router's workloads on loopback.
 func Start(f *pb.Fleet, workloads []*pb.Workload, record Recorder) (*Fleet, error) {
-	fl := &Fleet{settings: f, record: record, workloads: map[string]work{}, links: 1,
+	return StartOn(listenTCP, f, workloads, record)
+}
+
+// listenTCP picks a port that stays free for the same server's return where none is asked for.
+func listenTCP(address string) (net.Listener, error) {
+	if host, port, _ := net.SplitHostPort(address); port == "0" {
+		return loopback.Listen(host)
+	}
+	return net.Listen("tcp", address)
+}
+
+// StartOn is Start on any kind of listener.
+func StartOn(listen func(address string) (net.Listener, error), f *pb.Fleet, workloads []*pb.Workload, record Recorder) (*Fleet, error) {
+	fl := &Fleet{listen: listen, settings: f, record: record, workloads: map[string]work{}, links: 1,
 		rng: rand.New(rand.NewPCG(f.GetSeed(), 1)), routers: map[string]place{}, seen: map[string]time.Time{}}
 	for i, w := range workloads {
 		fl.workloads[w.GetName()] = work{i, w}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -39,7 +39,7 @@
 }
 
 func startList(f *Fleet, address string, delay time.Duration) (*List, error) {
-	ln, err := net.Listen("tcp", address)
+	ln, err := f.listen(address)
 	if err != nil {
 		return nil, fmt.Errorf("list service: %w", err)
 	}
