News of the engines is read ahead of what was offered before it

Excluded: the list service (it told at 0.73 s), the follower (it told the planner at once), decide (it sends nothing to an engine that drains once it is listed so). To blame: the mailbox was one queue, so planner.Run handed decide the oldest facts first, however old; timers likewise came before a list that arrived after the batch was taken. Now the list's news has a place of its own, merged to one, and is read before each fact and each timer.

--- a/internal/planner/mailbox.go
+++ b/internal/planner/mailbox.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"cherryhub/decide"
 	"cherryhub/internal/link"
@@ -10,7 +11,10 @@
 
 // mailbox holds the facts that the planner has not yet read. Offers are bounded by a limit of their own and
 // by the completions that are open; all other facts are never refused. What tells of a completion is bounded with
-// the completions; of each engine's reports the last one waits; lists past listsMost become one with the last.
+// the completions, and of each engine's reports the last one waits. News of the engines waits as one list, and is
+// read ahead of all else: a planner that stood still would otherwise send what was offered before the news to
+// engines of which this router has been told long since that they drain or are gone.
+//
 // Its guard: a stalled planner must neither block those who tell it something nor let memory grow. It would harm if
 // a burst within a healthy planner's few milliseconds passed the limit: then completions are refused that could be
 // served.
@@ -18,8 +22,8 @@
 	mu     sync.Mutex
 	facts  []link.Fact
 	probed map[string]int // where an engine's report waits, by address
-	lists  int            // that wait
-	list   int            // where the last of them waits
+	list   *link.List     // news that waits, nil for none
+	heard  atomic.Bool    // there is some
 	offers int            // that wait
 	open   int            // completions taken, and not yet closed by the planner
 	most   int            // offers that may wait
@@ -27,9 +31,6 @@
 	ring   chan struct{}
 }
 
-// listsMost is how many lists may wait: more than come in a healthy planner's few milliseconds.
-const listsMost = 16
-
 func newMailbox(most, mostIn int) *mailbox {
 	return &mailbox{most: most, mostIn: mostIn, probed: map[string]int{}, ring: make(chan struct{}, 1)}
 }
@@ -50,18 +51,14 @@
 func (m *mailbox) tell(f link.Fact) {
 	m.mu.Lock()
 	switch at, waits := m.probed[f.Address]; {
+	case f.Kind == link.Listed:
+		m.list = merged(m.list, f.List)
+		m.heard.Store(true)
 	case f.Kind == link.Probed && waits:
 		m.facts[at] = f
-	case f.Kind == link.Listed && m.lists >= listsMost:
-		last := &m.facts[m.list]
-		last.List = merged(last.List, f.List)
 	default:
-		switch f.Kind {
-		case link.Probed:
+		if f.Kind == link.Probed {
 			m.probed[f.Address] = len(m.facts)
-		case link.Listed:
-			m.lists++
-			m.list = len(m.facts)
 		}
 		m.facts = append(m.facts, f)
 	}
@@ -72,6 +69,9 @@
 // merged is two lists as one: the later word on an engine counts. An engine that was gone in between is told as
 // just started where its start is not told, since nothing else would show that it was gone.
 func merged(before, after *link.List) *link.List {
+	if before == nil {
+		return after
+	}
 	at, all := map[string]int{}, &link.List{Kind: after.Kind}
 	if after.Kind == decide.ListDelta {
 		all.Kind = before.Kind
@@ -107,11 +107,24 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	batch := m.facts
-	m.facts, m.offers, m.lists = used[:0], 0, 0
+	m.facts, m.offers = used[:0], 0
 	clear(m.probed)
 	return batch
 }
 
+// news is what the list told since it was last asked, nil for nothing.
+func (m *mailbox) news() *link.List {
+	if !m.heard.Load() {
+		return nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := m.list
+	m.list = nil
+	m.heard.Store(false)
+	return l
+}
+
 func (m *mailbox) closed(n int) {
 	m.mu.Lock()
 	m.open -= n
@@ -122,5 +135,9 @@
 func (m *mailbox) sizes() (waiting, open int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.facts), m.open
+	waiting = len(m.facts)
+	if m.list != nil {
+		waiting++
+	}
+	return waiting, m.open
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -138,11 +138,24 @@
 // guard hands a fact to decide. A panic there costs the completion it was about, not the router: guards
 // against faults of ours only, and harms if decide's books were left half written; the count says so.
 func (p *Planner) guard(f *link.Fact) {
+	p.news()
 	defer p.survive(f.Completion)
 	p.router.At(p.now())
 	p.handle(f)
 }
 
+// news hands decide what is new of the engines, before any fact or timer that could have it send something.
+func (p *Planner) news() {
+	l := p.box.news()
+	if l == nil {
+		return
+	}
+	defer p.survive(0) // of no completion
+	now := p.now()
+	p.router.At(now)
+	p.router.Listed(l.Kind, p.engines.facts(now, l))
+}
+
 func (p *Planner) survive(completion uint64) {
 	trouble := recover()
 	if trouble == nil {
@@ -167,9 +180,6 @@
 			p.router.Probed(at, f.Outcome, f.Report)
 		}
 		return
-	case link.Listed:
-		p.router.Listed(f.List.Kind, p.engines.facts(p.now(), f.List))
-		return
 	}
 	o := p.open[f.Completion]
 	if o == nil {
@@ -214,6 +224,7 @@
 // fire calls what is due. Timers of completions that are over stay in the heap until then, or until they are
 // more than half of it: so it never holds more than twice what is live.
 func (p *Planner) fire() {
+	p.news()
 	if p.stale > 1024 && p.stale > len(p.timers)/2 {
 		live := p.timers[:0]
 		for _, t := range p.timers {
@@ -236,6 +247,7 @@
 }
 
 func (p *Planner) due(t timer) {
+	p.news()
 	p.router.At(p.now())
 	if t.of == nil {
 		p.router.Due()
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -337,6 +337,24 @@
 	assert.Equal(t, entry(4, "", 0).Address, sent[len(sent)-1].Engine.Address, "a whole list replaces all before it")
 }
 
+// TestNewsFirst: what was offered, and timers that came due, before the news of a drain send nothing there once the
+// planner that stood still goes on.
+func TestNewsFirst(t *testing.T) {
+	p, b := planner(t, nil)
+	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
+	p.step()
+	p.Offer(take(1, 0, 100, time.Second))
+	batch := p.box.take(nil) // the planner stands still with it
+	p.Offer(take(2, 0, 100, time.Second))
+	p.Tell(fleet(decide.ListDelta, entry(1, "write", decide.Draining)))
+	for i := range batch {
+		p.guard(&batch[i])
+	}
+	p.step()
+	assert.Empty(t, b.of(link.Dispatch))
+	assert.Len(t, b.of(link.RateLimit), 2)
+}
+
 // TestRunEnds though facts never cease.
 func TestRunEnds(t *testing.T) {
 	p, _ := planner(t, nil)
