A start that fails and a client that is closed leave no descriptor behind

Seen by the churn run, whose second router found its admin address taken: 5 descriptors and 3 goroutines more at its end than at its start. TestFailedStart, each part failing in turn: 1 to 6 descriptors and up to 2 goroutines left; and a connection that is closed after its engine client opened the client's spare descriptor anew (TestSpareEndsWithTheClient). Excluded: the router that did serve and stop (level over eight stops), the stand-ins, the test's own clients. To blame: router.Start closed the listener where it failed and nothing else (the engine client's spare descriptor, the door's four, its copy of the listener and its two goroutines stayed); dialer.renew did not know that it was closed. Now each part that was begun has its end in a list that a failed start runs through. 0 descriptors and 0 goroutines left in all seven cases. decide, internal/wire and the adapter are untouched.

--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -26,6 +26,7 @@
 
 	mu    sync.Mutex
 	spare *os.File
+	over  bool // no spare one is opened any more
 }
 
 func newDialer(most int, next func(ctx context.Context, network, address string) (net.Conn, error), drop func()) *dialer {
@@ -76,7 +77,7 @@
 func (d *dialer) renew() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.spare == nil {
+	if d.spare == nil && !d.over {
 		if f, err := os.Open(os.DevNull); err == nil {
 			d.spare = f
 		}
@@ -84,7 +85,12 @@
 }
 
 // close gives the spare descriptor back for good.
-func (d *dialer) close() { d.makeWay() }
+func (d *dialer) close() {
+	d.mu.Lock()
+	d.over = true
+	d.mu.Unlock()
+	d.makeWay()
+}
 
 // counted gives its slot back once it is closed.
 type counted struct {
--- a/internal/engine/dial_test.go
+++ b/internal/engine/dial_test.go
@@ -56,3 +56,16 @@
 	assert.Zero(t, dropped, "the ways to engines that hold states stay")
 	assert.NotNil(t, d.spare, "there is one again")
 }
+
+// TestSpareEndsWithTheClient: a connection that outlives its client opens no descriptor that nobody would close.
+func TestSpareEndsWithTheClient(t *testing.T) {
+	d := newDialer(4, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() {})
+	conn, err := d.dial(t.Context(), "tcp", "x")
+	require.NoError(t, err)
+	d.close()
+	require.NoError(t, conn.Close())
+	assert.Nil(t, d.spare)
+	_, err = d.dial(t.Context(), "tcp", "x")
+	require.NoError(t, err, "a release at the end is still sent")
+	assert.Nil(t, d.spare)
+}
--- /dev/null
+++ b/internal/router/churn_test.go
@@ -0,0 +1,351 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"cherryhub/internal/config"
+	"cherryhub/internal/fleet"
+	"cherryhub/internal/loopback"
+	"cherryhub/internal/standin"
+	pb "cherryhub/proto"
+)
+
+var churnFor = flag.Duration("churn", 4*time.Second, "how long TestChurn has engines, routers, clients, sessions and keys come and go")
+
+const churnRouter = `name: "stays" listen: "127.0.0.1:0" admin_listen: "127.0.0.1:0" zone: "a" routers: 2
+machines { name: "read" role: READER }
+machines { name: "write" role: WRITER }
+workloads { name: "m" client_timeout_s: 2 effect: IDEMPOTENT }
+workloads { name: "once" client_timeout_s: 2 }
+cold { warm_s: 0.5 fall_window_s: 0 }
+allowed { max_come_back_s: 0.2 }
+timing { stop_s: 3 engine_idle_s: 0.5 idle_s: 1 }
+peers { key_hex: "00112233445566778899aabbccddeeff" settle_s: 0.3 lease_s: 1 }
+list { file: "x" poll_s: 0.05 max_engines: 64 }`
+
+const churnShift = `list_listen: "127.0.0.1:0"
+engines { name: "reader" machine: "read" role: READER zone: "a" slots: 16 }
+engines { name: "writer" machine: "write" role: WRITER zone: "a" count: 2 slots: 64 token_ms: 2 mean_answer_tokens: 8 }`
+
+// churn is a service in which nothing stays but one router.
+type churn struct {
+	t        *testing.T
+	dir      string
+	settings *pb.Router
+	log      *os.File
+	stays    *Router
+	shifts   []*shift
+	version  int64
+	calls    atomic.Int64
+	done     atomic.Int64
+	failed   atomic.Int64
+}
+
+// shift is a few stand-in engines that come and go together.
+type shift struct {
+	fleet   *standin.Fleet
+	n       int64
+	started time.Time
+	phase   string
+}
+
+func (c *churn) write(name string, text []byte) {
+	at := filepath.Join(c.dir, name)
+	require.NoError(c.t, os.WriteFile(at+".new", text, 0o600))
+	require.NoError(c.t, os.Rename(at+".new", at))
+}
+
+// publish writes the list of engines anew. Each shift is a zone and cell of its own name.
+func (c *churn) publish() {
+	c.version++
+	line := fleet.Line{Kind: "full", Epoch: 1, Version: c.version}
+	for _, s := range c.shifts {
+		for i, e := range s.fleet.Engines {
+			age, machine := time.Since(s.started).Seconds(), "write"
+			if i == 0 {
+				machine = "read"
+			}
+			line.Engines = append(line.Engines, fleet.Engine{Address: e.Address(), Zone: fmt.Sprint("zone", s.n), Cell: fmt.Sprint("cell", s.n), Machine: machine,
+				Phase: s.phase, Start: s.started.UnixMilli(), Age: &age})
+		}
+	}
+	text, err := json.Marshal(line)
+	require.NoError(c.t, err)
+	c.write("list.json", text)
+}
+
+func (c *churn) hire() {
+	f := &pb.Fleet{}
+	require.NoError(c.t, config.Parse("fleet", []byte(churnShift), f))
+	s := &shift{n: c.version, started: time.Now(), phase: "ready"}
+	var err error
+	s.fleet, err = standin.Start(f, c.settings.GetWorkloads(), nil)
+	require.NoError(c.t, err)
+	c.shifts = append(c.shifts, s)
+	c.publish()
+}
+
+// dismiss has the oldest shift drain, go and end.
+func (c *churn) dismiss() {
+	old := c.shifts[0]
+	old.phase = "draining"
+	c.publish()
+	time.Sleep(200 * time.Millisecond)
+	c.shifts = c.shifts[1:]
+	c.publish()
+	require.NoError(c.t, old.fleet.Close())
+}
+
+// keys puts other known clients in force.
+func (c *churn) keys(round int) {
+	var b strings.Builder
+	for i := range 5 {
+		sum := sha256.Sum256([]byte(fmt.Sprint("key", round+i)))
+		fmt.Fprintf(&b, "clients { name: \"client%d\" key_sha256: %q }\n", round+i, hex.EncodeToString(sum[:]))
+	}
+	c.write("admission.textproto", []byte(b.String()))
+}
+
+func (c *churn) router(name, seed string) *Router {
+	r := proto.CloneOf(c.settings)
+	r.Name = &name
+	address, err := loopback.Address("127.0.0.1")
+	require.NoError(c.t, err)
+	r.Peers.Listen = &address
+	if seed != "" {
+		r.Peers.Seeds = []string{seed}
+	}
+	one, err := Start(r, slog.New(slog.NewTextHandler(c.log, nil)))
+	require.NoError(c.t, err)
+	return one
+}
+
+// client comes, makes some calls in a session of its own, and goes.
+func (c *churn) client(rng *rand.Rand, address string, round int) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	session := rng.Uint64()
+	for range 1 + rng.IntN(4) {
+		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+		if rng.IntN(8) == 0 { // it leaves
+			time.AfterFunc(time.Duration(rng.IntN(60))*time.Millisecond, cancel)
+		}
+		body := fmt.Sprintf(`{"model":%q,"stream":%v,"user":"s%d","max_tokens":8,"messages":[{"role":"system","content":"shared %d"},{"role":"user","content":"%s"}]}`,
+			[]string{"m", "once"}[rng.IntN(2)], rng.IntN(2) == 0, session, rng.IntN(50), strings.Repeat("text ", rng.IntN(1500)))
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+		if err == nil {
+			req.Header.Set("Authorization", fmt.Sprint("Bearer key", round+rng.IntN(8)))
+			var resp *http.Response
+			c.calls.Add(1)
+			if resp, err = client.Do(req); err == nil {
+				text, _ := io.ReadAll(resp.Body) //nolint:errcheck // a call that broke is one that failed
+				resp.Body.Close()
+				if resp.StatusCode == 200 && (bytes.Contains(text, []byte("[DONE]")) || bytes.Contains(text, []byte("stop"))) {
+					c.done.Add(1)
+				} else {
+					c.failed.Add(1)
+				}
+			}
+		}
+		cancel()
+	}
+}
+
+// sample is a point of the curves.
+type sample struct {
+	heap                     uint64 // bytes after a collection
+	files, goroutines        int
+	log, calls               int64
+	waiting, open, releasing int
+}
+
+// held is how many descriptors and goroutines the process has.
+func held(t *testing.T) (files, goroutines int) {
+	all, err := os.ReadDir("/proc/self/fd")
+	require.NoError(t, err)
+	return len(all), runtime.NumGoroutine()
+}
+
+func (c *churn) sample() sample {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	files, goroutines := held(c.t)
+	info, err := c.log.Stat()
+	require.NoError(c.t, err)
+	f := c.stays.Planner.Figures()
+	_, releasing := c.stays.Edge.Active()
+	return sample{m.HeapAlloc, files, goroutines, info.Size(), c.calls.Load(), f.Waiting, f.Open, releasing}
+}
+
+// TestChurn: engines (with new addresses, zones and cells), routers that talk, clients, sessions and known keys come
+// and go all the time. Memory, descriptors and goroutines stay level meanwhile and return to their start after it.
+// -churn 90s makes days of it; the curves are logged.
+func TestChurn(t *testing.T) {
+	c := &churn{t: t, dir: t.TempDir(), settings: &pb.Router{}}
+	require.NoError(t, config.Parse("router", []byte(churnRouter), c.settings))
+	c.settings.List.File = proto.String(filepath.Join(c.dir, "list.json"))
+	c.settings.AdmissionFile = proto.String(filepath.Join(c.dir, "admission.textproto"))
+	var err error
+	c.log, err = os.Create(filepath.Join(c.dir, "log"))
+	require.NoError(t, err)
+	defer c.log.Close()
+	c.keys(0)
+	c.hire()
+	c.stays = c.router("stays", "")
+	seed := c.stays.settings.GetPeers().GetListen()
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 { // what is made once is there before the start
+		c.client(rng, c.stays.Address(), 0)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	first := c.sample()
+	for range 5 { // probes come and go at rest too
+		time.Sleep(100 * time.Millisecond)
+		s := c.sample()
+		first.files, first.goroutines = max(first.files, s.files), max(first.goroutines, s.goroutines)
+	}
+
+	stop := make(chan struct{})
+	over := func(d time.Duration) bool {
+		select {
+		case <-stop:
+			return true
+		case <-time.After(d):
+			return false
+		}
+	}
+	var round atomic.Int64
+	var other atomic.Pointer[Router]
+	var parts sync.WaitGroup
+	parts.Go(func() { // engines
+		for !over(150 * time.Millisecond) {
+			c.hire()
+			if len(c.shifts) > 3 {
+				c.dismiss()
+			}
+		}
+		for len(c.shifts) > 1 {
+			c.dismiss()
+		}
+	})
+	parts.Go(func() { // keys
+		for !over(300 * time.Millisecond) {
+			c.keys(int(round.Add(1)))
+		}
+	})
+	parts.Go(func() { // routers
+		for n := 0; ; n++ {
+			one := c.router(fmt.Sprint("other", n), seed)
+			other.Store(one)
+			end := over(900 * time.Millisecond)
+			other.Store(nil)
+			assert.NoError(t, one.Stop())
+			if end {
+				return
+			}
+		}
+	})
+	for i := range 8 { // clients
+		parts.Go(func() {
+			rng := rand.New(rand.NewPCG(2, uint64(i)))
+			for !over(time.Millisecond) {
+				at := c.stays
+				if o := other.Load(); o != nil && rng.IntN(3) == 0 {
+					at = o
+				}
+				c.client(rng, at.Address(), int(round.Load()))
+			}
+		})
+	}
+	var curve []sample
+	const points = 8
+	for range points {
+		time.Sleep(*churnFor / points)
+		curve = append(curve, c.sample())
+	}
+	close(stop)
+	parts.Wait()
+	var last sample
+	level := func() bool { // a release is tried for a minute at an engine that has gone, by one goroutine
+		last = c.sample()
+		return last.files <= first.files+last.releasing && last.goroutines <= first.goroutines+last.releasing && last.waiting+last.open == 0 &&
+			(last.releasing == 0 || *churnFor < time.Minute)
+	}
+	for wait := time.Duration(0); !level() && wait < *churnFor+5*time.Second; wait += 100 * time.Millisecond { // idle connections go with time
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.True(t, level(), "descriptors and goroutines return to %+v, but are %+v", first, last)
+	t.Log("| point | calls | heap KiB | descriptors | goroutines | log KiB | open |")
+	for i, s := range append(append([]sample{first}, curve...), last) {
+		t.Logf("| %d | %d | %d | %d | %d | %d | %d |", i, s.calls, s.heap>>10, s.files, s.goroutines, s.log>>10, s.open)
+	}
+	t.Logf("%d calls, %d finished, %d others; decide took %.1f µs a call at the router that stayed", c.calls.Load(), c.done.Load(), c.failed.Load(),
+		c.stays.Planner.Figures().Busy.Seconds()*1e6/float64(c.calls.Load()))
+	assert.Greater(t, c.done.Load(), c.calls.Load()/2)
+	assert.Less(t, last.heap, first.heap+8<<20, "what is kept of those who left is bounded")
+	assert.Less(t, float64(last.log-first.log)/float64(last.calls-first.calls), 400.0, "bytes of log a call")
+	assert.NoError(t, c.stays.Stop())
+	assert.NoError(t, c.shifts[0].fleet.Close())
+}
+
+// TestFailedStart: a router that can't start leaves nothing behind, whatever part it was that failed.
+func TestFailedStart(t *testing.T) {
+	taken, err := loopback.Listen("127.0.0.1")
+	require.NoError(t, err)
+	defer taken.Close()
+	at := taken.Addr().String()
+	for name, change := range map[string]func(*pb.Router){
+		"clients' address taken":       func(r *pb.Router) { r.Listen = &at },
+		"admin's address taken":        func(r *pb.Router) { r.AdminListen = &at },
+		"no IP address to dial from":   func(r *pb.Router) { r.SourceAddress = proto.String("nowhere") },
+		"no known client of that name": func(r *pb.Router) { r.Admission.Clients = []*pb.Known{{Name: proto.String("x")}} },
+		"no weight among the peers":    func(r *pb.Router) { r.Peers.Weight = proto.Float64(0) },
+		"no certificate":               func(r *pb.Router) { r.Tls = &pb.Tls{CertificateFile: proto.String("no"), KeyFile: proto.String("no")} },
+		"no workload":                  func(r *pb.Router) { r.Workloads = nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &pb.Router{}
+			require.NoError(t, config.Parse("router", []byte(churnRouter), r))
+			r.Admission = &pb.Admission{}
+			require.NoError(t, config.Parse("admission", nil, r.Admission))
+			change(r)
+			files, goroutines := held(t)
+			_, err := Start(r, slog.New(slog.DiscardHandler))
+			require.Error(t, err)
+			t.Log(err)
+			for range 50 { // what was ended may take a moment
+				time.Sleep(10 * time.Millisecond)
+				if f, g := held(t); f <= files && g <= goroutines {
+					return
+				}
+			}
+			f, g := held(t)
+			assert.Fail(t, "left behind", "%d descriptors, %d goroutines", f-files, g-goroutines)
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,6 +56,16 @@
 // Start starts a router; its settings must have been checked. It serves until Stop.
 func Start(r *pb.Router, log *slog.Logger) (*Router, error) {
 	log = log.With("router", r.GetName())
+	var undo []func() error
+	serves := false
+	defer func() { // what was begun ends with a start that failed
+		for _, f := range slices.Backward(undo) {
+			if serves {
+				return
+			}
+			f() //nolint:errcheck // the start's own error is told
+		}
+	}()
 	limits, err := letIn(r)
 	if err != nil {
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
@@ -65,10 +76,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 	}
+	undo = append(undo, func() error { client.Close(); return nil })
 	ln, err := net.Listen("tcp", r.GetListen())
 	if err != nil {
 		return nil, fmt.Errorf("router %s: listen: %w", r.GetName(), err)
 	}
+	undo = append(undo, ln.Close)
 	var names []string
 	for _, w := range r.GetWorkloads() {
 		names = append(names, w.GetName())
@@ -78,9 +91,11 @@
 	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
 	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), divided: limits.divided}
 	if one.door, err = limits.door(r, ln, log); err != nil {
-		return nil, errors.Join(fmt.Errorf("router %s: %w", r.GetName(), err), ln.Close())
+		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
+	}
+	if eo.Door = one.door; one.door != nil {
+		undo = append(undo, one.door.End)
 	}
-	eo.Door = one.door
 	l := r.GetList()
 	follower := fleet.New(fleet.Options{URL: l.GetUrl(), File: l.GetFile(), Poll: config.Seconds(l.GetPollS()), Ask: l.GetAsk(),
 		Retry: config.Seconds(l.GetRetryS()), MaxEngines: int(l.GetMaxEngines()), SourceAddress: r.GetSourceAddress(), Tell: one.listed, Log: log})
@@ -91,7 +106,7 @@
 			o.Refresh = &peer.Refresh{Subject: l.GetUrl(), Every: l.GetPollS(), Ask: follower.Ask, Take: follower.Take}
 		}
 		if one.peer, err = peer.New(*o); err != nil {
-			return nil, errors.Join(fmt.Errorf("router %s: %w", r.GetName(), err), ln.Close())
+			return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 		}
 		eo.Probe = one.peer.Probe
 	}
@@ -104,16 +119,15 @@
 	}
 	p, err := planner.New(config.Decide(r), po, e)
 	if err != nil {
-		ln.Close() //nolint:errcheck // it was never used
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
 	}
 	e.Plan(p)
 	metrics.Watch(p, e)
 	one.Edge, one.Planner = e, p
 	if err := one.serveAdmin(); err != nil {
-		ln.Close() //nolint:errcheck // it was never used
 		return nil, err
 	}
+	serves = true
 	ctx, end := context.WithCancel(context.Background())
 	one.end = end
 	one.parts.Go(func() { p.Run(ctx) })
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -542,3 +542,6 @@
 	}
 	return id
 }
+
+// Address is where it listens, for its whole life.
+func (e *Engine) Address() string { return e.address }
