--- a/internal/rules/probes.go
+++ b/internal/rules/probes.go
@@ -23,12 +23,12 @@
 		gap   float64
 		last  float64
 		peers map[string]bool
-		off   bool
+		off   map[string]bool // down, or deaf to one router or all
 	}
 	all, names := map[string]*met{}, []string(nil)
 	of := func(name string) *met {
 		if all[name] == nil {
-			all[name] = &met{last: from, peers: map[string]bool{}}
+			all[name] = &met{last: from, peers: map[string]bool{}, off: map[string]bool{}}
 			names = append(names, name)
 		}
 		return all[name]
@@ -41,12 +41,14 @@
 		m := of(ev.GetEngine())
 		switch ev.GetKind() {
 		case pb.EngineEvent_DOWN, pb.EngineEvent_DEAF:
-			if !m.off && at >= from {
+			if len(m.off) == 0 && at >= from {
 				m.gap = max(m.gap, at-m.last)
 			}
-			m.off = true
+			m.off[why(ev)] = true
 		case pb.EngineEvent_UP, pb.EngineEvent_HEARS:
-			m.off, m.last = false, max(from, at)
+			if delete(m.off, why(ev)); len(m.off) == 0 {
+				m.last = max(from, at)
+			}
 		case pb.EngineEvent_PROBED:
 			if at < from {
 				continue
@@ -60,7 +62,7 @@
 	out := make([]Probes, 0, len(names))
 	for _, name := range names {
 		m := all[name]
-		if !m.off {
+		if len(m.off) == 0 {
 			m.gap = max(m.gap, to-m.last)
 		}
 		p := Probes{Engine: name, Count: len(m.at), Longest: m.gap, Peers: len(m.peers)}
@@ -74,3 +76,11 @@
 	}
 	return out
 }
+
+// why is what keeps an engine from hearing: it is down, or deaf to a router or all.
+func why(ev *pb.EngineEvent) string {
+	if k := ev.GetKind(); k == pb.EngineEvent_DOWN || k == pb.EngineEvent_UP {
+		return "down"
+	}
+	return "deaf to " + ev.GetPeer()
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 
 	pb "cherryhub/proto"
@@ -420,10 +421,16 @@
 		engine, dispatch, completion string
 	}
 	open, done := map[string]held{}, []held(nil)
-	ends := map[string]float64{} // by engine and dispatch of a done one, in done's order
-	out := map[string][]span{}   // dispatches by completion
-	running := map[string]int{}  // index into out, by engine and dispatch
-	deaf, routers := map[string][]span{}, map[string]string{}
+	ends := map[string]float64{}                             // by engine and dispatch of a done one, in done's order
+	out := map[string][]span{}                               // dispatches by completion
+	running := map[string]int{}                              // index into out, by engine and dispatch
+	off, routers := map[string][]span{}, map[string]string{} // off: by engine and why, since it may be down and deaf at once
+	begins := func(why string, at float64) { off[why] = append(off[why], span{at, math.Inf(1)}) }
+	ceases := func(why string, at float64) {
+		for i := range off[why] {
+			off[why][i].to = min(off[why][i].to, at)
+		}
+	}
 	var order []string
 	for _, e := range r.entries {
 		ev, at := e.GetEngine(), e.GetAtS()
@@ -445,14 +452,14 @@
 			if _, known := open[id]; known {
 				ends[id] = at
 			}
-		case pb.EngineEvent_DEAF, pb.EngineEvent_DOWN:
-			deaf[ev.GetEngine()] = append(deaf[ev.GetEngine()], span{at, math.Inf(1)})
-		case pb.EngineEvent_HEARS, pb.EngineEvent_UP:
-			for i := range deaf[ev.GetEngine()] {
-				if s := &deaf[ev.GetEngine()][i]; math.IsInf(s.to, 1) {
-					s.to = at
-				}
-			}
+		case pb.EngineEvent_DOWN:
+			begins(ev.GetEngine(), at)
+		case pb.EngineEvent_UP:
+			ceases(ev.GetEngine(), at)
+		case pb.EngineEvent_DEAF:
+			begins(ev.GetEngine()+" to "+ev.GetPeer(), at)
+		case pb.EngineEvent_HEARS:
+			ceases(ev.GetEngine()+" to "+ev.GetPeer(), at)
 		}
 	}
 	for _, id := range order {
@@ -467,7 +474,7 @@
 		if r.killed(routers[h.completion], h.at, end) {
 			continue
 		}
-		busy := append(append([]span(nil), out[h.completion]...), deaf[h.engine]...)
+		busy := slices.Concat(out[h.completion], off[h.engine], off[h.engine+" to "], off[h.engine+" to "+routers[h.completion]])
 		if from, gap := longestGap(h.at, end, busy); gap > r.head.GetLetGoS() {
 			r.breach(NothingPinned, from, "dispatch "+h.dispatch, "held at %s for %.3f s while nothing was out, the limit is %.3f s",
 				h.engine, gap, r.head.GetLetGoS())
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -68,6 +68,7 @@
 	load := func(s float64) func(*pb.EngineEvent) { return func(e *pb.EngineEvent) { e.WorkS = proto.Float64(s) } }
 	cold := func(e *pb.EngineEvent) { e.Cold = proto.Bool(true) }
 	other := func(e *pb.EngineEvent) { e.Engine = proto.String("f") }
+	toAll := func(e *pb.EngineEvent) { e.Peer = nil }
 	for name, c := range map[string]struct {
 		rule    Rule
 		broken  bool
@@ -112,7 +113,9 @@
 
 		"taken in time":                 {NothingPinned, false, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_STATE_TAKEN, "c-0")}},
 		"a dispatch is out":             {NothingPinned, false, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_ARRIVED, "c-1", other), engine(9, pb.EngineEvent_ENDED, "c-1", other), engine(9.4, pb.EngineEvent_STATE_RELEASED, "c-0")}},
-		"deaf":                          {NothingPinned, false, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_DEAF, ""), engine(9, pb.EngineEvent_HEARS, ""), engine(9.4, pb.EngineEvent_STATE_RELEASED, "c-0")}},
+		"deaf":                          {NothingPinned, false, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_DEAF, "", toAll), engine(9, pb.EngineEvent_HEARS, "", toAll), engine(9.4, pb.EngineEvent_STATE_RELEASED, "c-0")}},
+		"down, and deaf meanwhile":      {NothingPinned, false, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_DOWN, ""), engine(2, pb.EngineEvent_DEAF, ""), engine(3, pb.EngineEvent_HEARS, ""), engine(9, pb.EngineEvent_UP, ""), engine(9.4, pb.EngineEvent_STATE_RELEASED, "c-0")}},
+		"deaf to another router":        {NothingPinned, true, []*pb.Entry{engine(1, pb.EngineEvent_ARRIVED, "c-0"), engine(1.1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.1, pb.EngineEvent_ENDED, "c-0"), engine(1.2, pb.EngineEvent_DEAF, "", func(e *pb.EngineEvent) { e.Peer = proto.String("s") }), engine(9, pb.EngineEvent_STATE_RELEASED, "c-0")}},
 		"held too long":                 {NothingPinned, true, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.6, pb.EngineEvent_STATE_RELEASED, "c-0")}},
 		"never let go":                  {NothingPinned, true, []*pb.Entry{engine(1, pb.EngineEvent_PLACE_HELD, "c-0")}},
 		"after the dispatch":            {NothingPinned, true, []*pb.Entry{engine(1, pb.EngineEvent_STATE_HELD, "c-0"), engine(1.4, pb.EngineEvent_ARRIVED, "c-1", other), engine(2, pb.EngineEvent_ENDED, "c-1", other), engine(2.6, pb.EngineEvent_STATE_TAKEN, "c-0")}},
