Churn runs: a service on sockets in which nothing stays but a router, and virtual hours

Needed: nothing showed that memory, descriptors, goroutines and a decision's time stay level while all come and go. TestLongChurn plays an hour, or -churn.hours, in virtual time on the planner and decide for what hangs on claims (120 s) and resting indices (600 s). decide gives back an engine's claims once all have lapsed, with the next list: no decision uses a lapsed claim.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -222,6 +222,9 @@
 	}
 	clear(r.cells)
 	for _, e := range r.engines {
+		if r.now-e.heard > keepsFor { // all claims have lapsed
+			e.kept = [2]map[uint64]claim{}
+		}
 		for len(r.cells) <= e.cell {
 			r.cells = append(r.cells, [2]float64{})
 		}
--- /dev/null
+++ b/internal/planner/churn_test.go
@@ -0,0 +1,124 @@
+package planner
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+	"cherryhub/internal/link"
+)
+
+var churnHours = flag.Float64("churn.hours", 1, "virtual hours that TestLongChurn plays")
+
+// TestLongChurn plays hours in virtual time for what hangs on long constants: engines with new addresses, zones and
+// cells come each 20 s and stay for 200 s, so that indices, which rest for 600 s, are reused; sessions are ever new, so
+// that claims, which lapse after 120 s, pass their bound. Tables stay within their bounds, memory stays level, a
+// decision costs at the end what it cost at the start, and what lapsed is given back.
+func TestLongChurn(t *testing.T) {
+	const most, lives, every = 128, 10, 20 // engines, and how many steps of so many seconds one lives
+	p, b := planner(t, func(s *decide.Settings, o *Options) {
+		o.MaxEngines, o.Mailbox, o.MaxCompletions = most, 1<<20, 1<<20
+		s.Columns, s.Places, s.Routers = []string{"x0", "x1"}, true, 3
+		o.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	})
+	rng := rand.New(rand.NewPCG(1, 2))
+	next, session, sent := uint64(0), uint64(0), 0
+	var took []time.Duration
+	pass := func(seconds float64) { p.start = p.start.Add(-time.Duration(seconds * float64(time.Second))) }
+	serve := func(n int) {
+		for range n {
+			next++
+			session++
+			f := take(next, 0, 200+3000*rng.Float64(), 5*time.Second)
+			f.Prompt.Session, f.Prompt.Shared, f.Prompt.SharedLen = session, rng.Uint64N(1<<40)+1, 150
+			p.Offer(f)
+			began := time.Now()
+			p.step()
+			took = append(took, time.Since(began))
+			for sent < len(b.orders) { // each dispatch ends well, reads lead to writes
+				o := b.orders[sent]
+				if sent++; o.Kind != link.Dispatch {
+					continue
+				}
+				end := link.Fact{Kind: link.Ended, Completion: o.Completion, Dispatch: o.Dispatch, Outcome: decide.Read, Took: 0.05, Report: []float64{0.2, 1}}
+				if !o.Reads {
+					p.Tell(link.Fact{Kind: link.Started, Completion: o.Completion, Dispatch: o.Dispatch, Took: 0.05})
+					end.Outcome, end.Done = decide.Finished, true
+				}
+				p.Tell(end)
+				p.step()
+			}
+			b.orders, sent = b.orders[:0], 0
+		}
+	}
+	heap := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	list := func(step int) {
+		all := []link.Entry{entry(0, "read", decide.Ready), entry(1, "write", decide.Ready)}
+		for i := max(0, step-lives); i < step; i++ {
+			for k, machine := range []string{"read", "write"} {
+				e := entry(0, machine, decide.Ready)
+				e.Address, e.Zone, e.Cell = fmt.Sprintf("10.%d.%d.%d:1", i>>8, i&255, k), fmt.Sprint("z", i), fmt.Sprint("c", i)
+				all = append(all, e)
+			}
+		}
+		p.Tell(fleet(decide.ListFull, all...))
+		p.step()
+	}
+	median := func(d []time.Duration) (p50, p99 time.Duration) {
+		d = slices.Clone(d)
+		slices.Sort(d)
+		return d[len(d)/2], d[len(d)*99/100]
+	}
+	steps := int(*churnHours * 3600 / every)
+	list(lives)
+	serve(2000)
+	took = took[:0]
+	before := heap()
+	t.Log("| virtual min | heap KiB | engines known | zones | cells | timers | decision p50 µs | p99 µs |")
+	var curve []uint64
+	var early, late time.Duration
+	for step := range steps {
+		list(lives + step)
+		for range every / 2 {
+			pass(2)
+			serve(24)
+		}
+		require.LessOrEqual(t, len(p.engines.known), most)
+		require.LessOrEqual(t, len(p.engines.zones.all), 2*most+1)
+		require.LessOrEqual(t, len(p.engines.cells.all), 2*most+1)
+		require.Empty(t, p.open)
+		if (step+1)%(steps/9) == 0 {
+			p50, p99 := median(took)
+			curve = append(curve, heap())
+			t.Logf("| %d | %d | %d | %d | %d | %d | %d | %d |", (step+1)*every/60, curve[len(curve)-1]>>10, len(p.engines.known), len(p.engines.zones.all),
+				len(p.engines.cells.all), len(p.timers), p50.Microseconds(), p99.Microseconds())
+			if late = p50; early == 0 {
+				early = p50
+			}
+			took = took[:0]
+		}
+	}
+	assert.Less(t, curve[len(curve)-1], curve[2]+curve[2]/4, "level once the first indices are reused")
+	assert.Less(t, late, 3*early, "a decision's time")
+	pass(700) // rest: claims lapse
+	list(0)
+	after := heap()
+	t.Logf("at rest %d KiB, before %d KiB", after>>10, before>>10)
+	assert.Less(t, after, before+1<<20, "what lapsed is given back")
+}
--- a/internal/router/churn_test.go
+++ b/internal/router/churn_test.go
@@ -120,10 +120,11 @@
 
 // keys puts other known clients in force.
 func (c *churn) keys(round int) {
-	var b strings.Builder
+	b := &strings.Builder{}
+	b.WriteString("address_new_per_s: 1e5 address_burst: 1e5 client_new_per_s: 1e5 client_burst: 1e5\n") // all come from here
 	for i := range 5 {
 		sum := sha256.Sum256([]byte(fmt.Sprint("key", round+i)))
-		fmt.Fprintf(&b, "clients { name: \"client%d\" key_sha256: %q }\n", round+i, hex.EncodeToString(sum[:]))
+		fmt.Fprintf(b, "clients { name: \"client%d\" key_sha256: %q }\n", round+i, hex.EncodeToString(sum[:]))
 	}
 	c.write("admission.textproto", []byte(b.String()))
 }
