Who gets sends in the first seconds after a trouble, measured and bounded

Needed: nothing looked at the seconds in which an engine comes back empty and looks the best of all to every router. TestLoadFalls: after an overload on edge, planner and decide as they are, the writers share what comes next. No fault found here.

--- a/internal/edge/rules_test.go
+++ b/internal/edge/rules_test.go
@@ -276,3 +276,50 @@
 	}
 	assert.Positive(t, held)
 }
+
+// TestLoadFalls: when an overload ends, what comes next is spread over the writers that are there, and is finished.
+func TestLoadFalls(t *testing.T) {
+	const burst, calm = 400, 150
+	var report *rules.Report
+	arrived, after := map[string]float64{}, map[int64]pb.ClientEvent_Kind{}
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, faults{})
+		time.Sleep(500 * time.Millisecond)
+		for i := range burst {
+			w.call(call{Router: i, Tokens: 50 + 7*i, Stream: true, Session: i})
+			time.Sleep(3 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		fell := w.rec.Now()
+		for i := range calm {
+			w.call(call{Router: i, Tokens: 20 + i, Stream: true, Session: burst + i})
+			time.Sleep(30 * time.Millisecond)
+		}
+		report = w.end()
+		for _, e := range w.entries {
+			if ev := e.GetEngine(); e.GetAtS() > fell && ev.GetKind() == pb.EngineEvent_ARRIVED && ev.GetRole() == pb.Role_WRITER {
+				arrived[ev.GetEngine()]++
+			}
+			if c := e.GetClient(); c.GetCompletion() > burst {
+				after[c.GetCompletion()] = c.GetKind()
+			}
+		}
+	})
+	require.Empty(t, report.Breaches)
+	assert.Positive(t, report.Works[0].RateLimited, "it was an overload")
+	finished, writes := 0, 0.0
+	for _, kind := range after {
+		if kind == pb.ClientEvent_FINISHED {
+			finished++
+		}
+	}
+	writers := []string{"writer-0", "writer-1", "writer-2"} // the mixed engine is in the routers' zone, and preferred while it has room
+	for _, e := range writers {
+		writes += arrived[e]
+	}
+	assert.Greater(t, finished, calm*9/10)
+	for _, e := range writers {
+		share := arrived[e] * 3 / writes
+		assert.True(t, share > 0.2 && share < 2, "%s got %.2f of an even share", e, share)
+	}
+}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -177,6 +177,7 @@
 	fleet   *standin.Fleet
 	rec     *record.Writer
 	buf     bytes.Buffer
+	entries []*pb.Entry // once it is over
 	routers []*one
 	faults  faults
 	calls   sync.WaitGroup
@@ -342,9 +343,10 @@
 	require.NoError(w.t, w.fleet.Close())
 	w.parts.Wait()
 	require.NoError(w.t, w.rec.Close())
-	entries, err := record.Read(&w.buf)
+	var err error
+	w.entries, err = record.Read(&w.buf)
 	require.NoError(w.t, err)
-	report, err := rules.Check(entries)
+	report, err := rules.Check(w.entries)
 	require.NoError(w.t, err)
 	return report
 }
--- /dev/null
+++ b/internal/lab/return_test.go
@@ -0,0 +1,79 @@
+package lab
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestReturn: who gets sends in the first seconds after a trouble. An engine that comes back, empty and with no load,
+// looks the best of all at once to every router; it must not get a crowd, and must get its share again in some seconds. One
+// that comes back cold gets a cold one's part until it is warm. Few routers see much each, many see next to nothing.
+func TestReturn(t *testing.T) {
+	for name, c := range map[string]struct {
+		trouble Trouble
+		cold    bool
+	}{
+		"a writer that paused":  {Trouble{Kind: Pause, Group: 1}, false},
+		"a writer that slowed":  {Trouble{Kind: Slow, Group: 1, Times: 10}, false},
+		"a writer that drained": {Trouble{Kind: Drained, Group: 1}, false},
+		"a writer that died":    {Trouble{Kind: Die, Group: 1}, true},
+		"a reader that paused":  {Trouble{Kind: Pause, Group: 0}, false},
+		"a reader that slowed":  {Trouble{Kind: Slow, Group: 0, Times: 10}, false},
+		"a reader that died":    {Trouble{Kind: Die, Group: 0}, true},
+	} {
+		for _, routers := range []int{2, 40} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				const from, until, warm, days = 15, 21, 8, 6
+				var mine, all [60]float64 // dispatches by second
+				s := day(25)
+				s.Routers, s.Length, s.ListLate = routers, 40, 0.3
+				for i := range s.Groups {
+					s.Groups[i].Model.StartShare, s.Groups[i].Model.Warm = 0.3, warm
+				}
+				s.Decide.Warm, s.Decide.ColdWindow = warm, 2
+				x := c.trouble
+				x.At, x.Length, x.Count = from, until-from, 1
+				s.Troubles = []Trouble{x}
+				first, n := 0, s.Groups[0].Count
+				if x.Group == 1 {
+					first, n = s.Groups[0].Count, s.Groups[1].Count
+				}
+				s.Sent = func(at float64, engine int) {
+					if i := int(at); engine >= first && engine < first+n && i < len(all) {
+						all[i]++
+						if engine == first {
+							mine[i]++
+						}
+					}
+				}
+				for seed := range uint64(days) {
+					s.Seed = seed + 1
+					_, err := Run(s)
+					require.NoError(t, err)
+				}
+				share := func(a, b int) float64 { // of an even share, from second a until b
+					m, sum := 0.0, 0.0
+					for i := a; i < b; i++ {
+						m, sum = m+mine[i], sum+all[i]
+					}
+					return m * float64(n) / sum
+				}
+				t.Logf("%d routers: during %.2f, then by second %.2f %.2f %.2f %.2f %.2f, later %.2f", routers, share(from+2, until), share(until, until+1),
+					share(until+1, until+2), share(until+2, until+3), share(until+3, until+4), share(until+4, until+5), share(until+warm+2, 40))
+				assert.Less(t, share(from+2, until), 0.5, "it is left while it is ill")
+				for i := until; i < until+warm; i++ {
+					assert.Less(t, share(i, i+1), 2.0, "no crowd in second %d", i-until)
+				}
+				if c.cold {
+					assert.Less(t, share(until, until+warm/2), 0.6, "a cold one's part")
+				} else {
+					assert.Greater(t, share(until+2, until+5), 0.5, "its share again")
+				}
+				assert.Greater(t, share(until+warm+2, 40), 0.7, "its share again")
+			})
+		}
+	}
+}
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -138,6 +138,9 @@
 	d.reads = d.at.group.Role == decide.Reader
 	c.runs = append(c.runs, d)
 	w.result.Dispatches++
+	if w.s.Sent != nil {
+		w.s.Sent(d.sent, engine)
+	}
 	if !d.reads && c.state != nil {
 		d.fetches, c.state = c.state, nil
 	}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -52,6 +52,7 @@
 	Way      float64 // seconds between a router and an engine, one way
 	Link     float64 // tokens of state a second out of each reader's cell
 	Decide   decide.Settings
+	Sent     func(at float64, engine int) // hears of each dispatch, nil for none
 }
 
 // Result is what a day came to.
