--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -39,6 +39,8 @@
 	isCut     bool
 	routers   map[string]place     // by the address they dial from
 	seen      map[string]time.Time // tokened work that ran, by group and key
+	longest   time.Duration        // that any workload's group remembers
+	sweepAt   int                  // entries of seen at which the forgotten ones go
 }
 
 type place struct{ name, zone string }
@@ -64,8 +66,9 @@
 // StartOn is Start on any kind of listener.
 func StartOn(listen func(address string) (net.Listener, error), f *pb.Fleet, workloads []*pb.Workload, record Recorder) (*Fleet, error) {
 	fl := &Fleet{listen: listen, settings: f, record: record, workloads: map[string]work{}, links: 1,
-		rng: rand.New(rand.NewPCG(f.GetSeed(), 1)), routers: map[string]place{}, seen: map[string]time.Time{}}
+		rng: rand.New(rand.NewPCG(f.GetSeed(), 1)), routers: map[string]place{}, seen: map[string]time.Time{}, sweepAt: 1024}
 	for i, w := range workloads {
+		fl.longest = max(fl.longest, time.Duration(w.GetRememberedS()*float64(time.Second)))
 		fl.workloads[w.GetName()] = work{i, w}
 		for _, m := range w.GetModels() {
 			fl.workloads[m] = work{i, w}
@@ -217,6 +220,14 @@
 	if !known {
 		f.seen[group] = time.Now()
 	}
+	if len(f.seen) >= f.sweepAt { // what no group remembers any more
+		for k, s := range f.seen { // the order does not matter: each is its own
+			if !time.Now().Before(s.Add(f.longest)) {
+				delete(f.seen, k)
+			}
+		}
+		f.sweepAt = max(1024, 2*len(f.seen))
+	}
 	return !known
 }
 
