A call that is read while the edge stops is refused or waited for, never lost between

Excluded: calls that were counted (Stop waited for them), bodies that still come (they meet the check afterwards). To blame: handler.go complete asked e.ending first and counted itself in e.active only before the offer, so that Stop could see neither.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -119,7 +119,7 @@
 	nobody   int // the tenant of clients without a key, -1 for none
 	start    string
 	next     atomic.Uint64
-	active   atomic.Int64 // handlers of taken completions
+	active   atomic.Int64 // handlers of calls, of which some are taken completions
 	runs     atomic.Int64 // dispatches and releases
 	ending   atomic.Bool
 	releases atomic.Int64
@@ -207,7 +207,7 @@
 	return nil
 }
 
-// Active is how many taken completions have no final answer yet, and how many dispatches and releases run.
+// Active is how many calls whose body is read have no final answer yet, and how many dispatches and releases run.
 func (e *Edge) Active() (completions, dispatches int) {
 	return int(e.active.Load()), int(e.runs.Load())
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -482,3 +483,48 @@
 }
 
 func sha(key string) [32]byte { return sha256.Sum256([]byte(key)) }
+
+// TestStopLetsNothingSlipIn: a call that is being read while the edge stops is refused or waited for: once Stop has
+// returned nothing is offered any more.
+func TestStopLetsNothingSlipIn(t *testing.T) {
+	body := `{"model":"m","user":"` + strings.Repeat("x", 3<<20) + `","messages":[{"role":"user","content":"x"}]}`
+	late, refused := 0, 0
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // nobody comes there
+	require.NoError(t, err)
+	defer ln.Close()
+	for i := range 60 {
+		e := New(Options{Listener: ln, Workloads: []Workload{{Name: "m", Models: []string{"m"}, Timeout: 50 * time.Millisecond, Most: 9}},
+			Limits:      Limits{MaxBodyBytes: 1 << 23, MaxHeaderBytes: 1 << 14, MaxDepth: 20, MaxMessages: 10},
+			Identity:    Identity{SessionFrom: []string{"user"}, BytesPerToken: 4},
+			ClientWrite: time.Second, Idle: time.Second, Log: slog.New(slog.DiscardHandler), Observe: quiet{}, Probe: func(context.Context, string) ([]float64, error) { return nil, nil }})
+		var stopped atomic.Bool
+		e.Plan(planFunc(func(f link.Fact) bool {
+			if f.Kind == link.Take && stopped.Load() {
+				late++
+			}
+			return false
+		}))
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			rc := app.NewContext(0)
+			rc.Request.SetBodyString(body)
+			e.complete(context.Background(), rc)
+			if rc.Response.StatusCode() == 503 {
+				refused++
+			}
+		}()
+		time.Sleep(time.Duration(i) * 100 * time.Microsecond)
+		require.NoError(t, e.Stop(t.Context()))
+		stopped.Store(true)
+		<-ended
+	}
+	t.Logf("%d of 60 refused", refused)
+	assert.Zero(t, late)
+}
+
+// planFunc is a planner that hears of everything.
+type planFunc func(f link.Fact) bool
+
+func (p planFunc) Offer(f link.Fact) bool { return p(f) }
+func (p planFunc) Tell(f link.Fact)       { p(f) }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -31,6 +31,10 @@
 func (e *Edge) complete(ctx context.Context, rc *app.RequestContext) {
 	arrived := time.Now()
 	body, bad := e.body(rc)
+	// Counted before it is asked whether the edge ends, as Stop asks the other way about: one of the two sees the other.
+	// A body that still comes is not waited for.
+	e.active.Add(1)
+	defer e.active.Add(-1)
 	if bad == nil && e.ending.Load() {
 		bad = &apiError{status: 503, kind: "server_error", code: "stopping", message: "this router is stopping"}
 		rc.SetConnectionClose()
@@ -82,8 +86,6 @@
 	}
 	rc.Response.Header.Set("X-Request-Id", c.name)
 	e.add(c)
-	e.active.Add(1)
-	defer e.active.Add(-1)
 	if !e.planner.Offer(link.Fact{Kind: link.Take, Completion: id, Deadline: arrived.Add(timeout - margin),
 		Prompt: &decide.Prompt{Workload: work, Tenant: tenant, Session: ch.session, Shared: ch.shared, SharedLen: ch.sharedLen,
 			Len: ch.prompt, MaxAnswer: float64(most)}}) {
