Figures that cannot be cost one engine or client its own, no longer the whole fleet

Seen by reading, each by a test that failed first. One load report of infinity, or of 1e306 thousand tokens (the program's filter lets a finite one through, and reports of other routers come unfiltered): every completion was rate-limited from that second on, and still 30 s after the last such report, at 4 engines of which 2 were well. A count of kept tokens above the prompt's length, as engines count in their own way: the mean of what is read fell to -98,996 tokens, so that a queue of 10 stood for a load below zero. Eight completions that state max_tokens 1e9: the writers' memory looked full, and a ninth of 200 tokens was rate-limited. Excluded: no number and figures below zero, which count as not told; a true jam of 10 million waiting tokens (it passed). To blame: reported took any figure and survey summed it (0 times infinity is no number, for good); Ended used found as it came; Take booked 0.4 of MaxAnswer whatever it was. Now infinity is not told, what waits counts for 50 times the engine's memory at most, found for the prompt's length, an answer for 4,000 tokens. Guards against faulty engines, releases and clients; harms who truly writes answers beyond 4,000 tokens by half a place too few.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,6 +31,7 @@
 	closeLeast  = 300.0  // tokens; and so much is close besides
 	reportFades = 1.0    // seconds; a report's weight falls to 1/e in this time, a few refreshes
 	surveyFades = 8.0    // seconds; and its weight in the average of its pool
+	reportMost  = 50.0   // times an engine's memory; no report of what waits there counts for more
 	sampleLeast = 1200.0 // tokens out an engine at which own work is half a sample of the others'
 	memoryGuess = 150e3  // tokens; for machine kinds whose memory is not told
 	keepsFor    = 120.0  // seconds; a claim on kept text this old is dropped, sessions have ended by then
@@ -69,6 +70,7 @@
 	coldLeast   = 1.0    // dispatches a second, all routers: an engine's typical rate is held to be no less
 	watchAgain  = 1.0    // seconds between tries to get the list where it must be asked
 	answerGuess = 0.4    // share of the most it may produce that an answer without a hint is taken for
+	answerMost  = 4000.0 // tokens; no answer is taken for longer, as clients state far more than they get
 )
 
 // claim is text that an engine is held to keep, and what it had read when that was claimed.
@@ -279,14 +281,15 @@
 	}
 }
 
-// reported books a load report in tokens: what waits to be read and what is held.
+// reported books a load report in tokens: what waits to be read and what is held. What no engine can hold is
+// cut down: one figure past all measure would otherwise stand in every average of its pool for good.
 func (r *Router) reported(e *engine, report []float64) {
 	if len(report) == 0 {
 		return
 	}
 	value := [4]float64{} // queue, util, x0, x1
 	for i, at := range r.columns {
-		if value[i] = math.NaN(); at >= 0 && at < len(report) {
+		if value[i] = math.NaN(); at >= 0 && at < len(report) && !math.IsInf(report[at], 0) {
 			value[i] = math.Max(0, report[at])
 		}
 	}
@@ -297,7 +300,7 @@
 	if e.role != Reader && value[1] > full || math.IsNaN(full) {
 		full = value[1] // of slots
 	}
-	for i, now := range [...]float64{read, math.Min(full, 1) * e.memory} {
+	for i, now := range [...]float64{math.Min(read, reportMost*e.memory), math.Min(full, 1) * e.memory} {
 		if math.IsNaN(now) { // not told
 			now = r.all(e, i)
 		}
@@ -483,10 +486,10 @@
 }
 
 func (r *Router) Take(id uint64, p Prompt) *Completion {
-	c := &Completion{r: r, id: id, p: p, w: &r.works[p.Workload], deadline: r.now + p.Left,
-		answer: p.MaxAnswer * answerGuess, wakeAt: math.Inf(1), eager: eagerLeast + (1-eagerLeast)*r.rankOf(&p)}
+	c := &Completion{r: r, id: id, p: p, w: &r.works[p.Workload], deadline: r.now + p.Left, wakeAt: math.Inf(1),
+		answer: math.Min(answerMost, p.MaxAnswer*answerGuess), eager: eagerLeast + (1-eagerLeast)*r.rankOf(&p)}
 	if p.AnswerHint > 0 && c.w.TokenTarget > 0 {
-		c.answer = math.Min(p.MaxAnswer, p.AnswerHint/c.w.TokenTarget)
+		c.answer = math.Min(math.Min(answerMost, p.MaxAnswer), p.AnswerHint/c.w.TokenTarget)
 	}
 	c.advance()
 	return c
@@ -814,11 +817,14 @@
 	}
 	d.out, c.out = false, nil
 	r.reported(d.e, report)
+	if o == Read || o == Finished {
+		found = math.Min(found, c.p.Len) // an engine counts tokens in its own way
+	}
 	d.broken, d.ran = o == Broken, o != Read && o != Full && o != Unreachable && o != Moot
 	switch {
 	case o == Read:
 		r.measure(d, took)
-		r.read += paceLeast * (c.p.Len - found - r.read)
+		r.read += paceLeast * (c.p.Len - math.Max(found, 0) - r.read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 		d.e.pool.rate.add(r.now, 1)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"math"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -562,3 +563,68 @@
 	assert.Len(t, r.engines, 4)
 	assert.Empty(t, b.flush())
 }
+
+// TestReportsThatCannotBe: figures that no engine can have cost that engine its work at most, not the fleet's.
+func TestReportsThatCannotBe(t *testing.T) {
+	for name, report := range map[string][]float64{
+		"infinite": {math.Inf(1), math.Inf(1)}, "as good as infinite": {1, 1e306}, "no number": {math.NaN(), math.NaN()},
+		"below zero": {-3, -1e9}, "short": {1}, "many more waiting than it can hold": {1, 1e7},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, func(s *Settings) { s.Columns, s.Routers = []string{"x0", "x1"}, 20 }, fleet())
+			for s := range 60 {
+				r.At(float64(s))
+				b.flush()
+				if s < 30 {
+					r.Probed(0, Finished, report)
+					r.Probed(2, Finished, report)
+				}
+				r.Probed(1, Finished, []float64{0.1, 1})
+				r.Probed(3, Finished, []float64{0.1, 1})
+				for i := range 4 {
+					p := prompt(0, 2000)
+					p.Session = uint64(s*4 + i + 1)
+					h := r.Take(p.Session, p)
+					for _, o := range []Outcome{Read, Finished} {
+						h.Ended(len(h.sent)-1, o, 0.1, o == Finished, 0, nil)
+					}
+				}
+				assert.NotContains(t, b.flush(), "rate-limit", "second %d", s)
+			}
+		})
+	}
+}
+
+// TestMoreFoundThanThereWas: an engine counts tokens in its own way and may have found more kept than the prompt was
+// held to have. What is read on the mean stays above zero, and with it the load that a count of waiting ones stands for.
+func TestMoreFoundThanThereWas(t *testing.T) {
+	r, _ := start(t, func(s *Settings) { s.Columns = []string{"queue"} }, fleet())
+	p := prompt(0, 1000)
+	for i := range 500 {
+		p.Session = uint64(i%7 + 1)
+		h := r.Take(uint64(i), p)
+		h.Ended(0, Read, 0.1, false, 1e5, nil)
+		h.Ended(1, Finished, 0.1, true, 1e5, nil)
+	}
+	r.Probed(2, Finished, []float64{10})
+	assert.GreaterOrEqual(t, r.read, 0.0)
+	for _, e := range r.engines {
+		assert.GreaterOrEqual(t, r.cost(e, 0), float64(overhead))
+		assert.GreaterOrEqual(t, e.written, 0.0)
+	}
+}
+
+// TestLongAnswersStated: clients may state any number of tokens as the most that they want; a few that state far more
+// than any answer has don't make the writers look full to everybody.
+func TestLongAnswersStated(t *testing.T) {
+	r, b := start(t, nil, fleet())
+	for i := range 8 {
+		p := prompt(0, 200)
+		p.MaxAnswer = 1e9
+		r.Take(uint64(i), p)
+	}
+	b.flush()
+	r.At(5)
+	r.Take(99, prompt(0, 200))
+	assert.NotContains(t, b.flush(), "rate-limit")
+}
