--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -46,7 +46,7 @@
 type run struct {
 	c      *completion
 	n      int
-	engine link.Engine
+	engine string // its address
 	reads  bool
 	at     time.Time
 	ctx    context.Context
@@ -94,15 +94,15 @@
 }
 
 // probe asks an engine for its figures, beside everything else.
-func (e *Edge) probe(at link.Engine) {
+func (e *Edge) probe(address string) {
 	e.runs.Add(1)
 	go func() {
 		defer e.runs.Add(-1)
-		report, err := e.o.Probe(e.base, at.Address)
+		report, err := e.o.Probe(e.base, address)
 		if err != nil {
-			e.o.Log.Debug("probe failed", "engine", at.Address, "err", err)
+			e.o.Log.Debug("probe failed", "engine", address, "err", err)
 		}
-		e.planner.Tell(link.Fact{Kind: link.Probed, Address: at.Address, Outcome: engine.ProbeOutcome(err), Report: report})
+		e.planner.Tell(link.Fact{Kind: link.Probed, Address: address, Outcome: engine.ProbeOutcome(err), Report: report})
 	}()
 }
 
@@ -141,9 +141,9 @@
 
 func (r *run) call(body []byte) *engine.Call {
 	c := r.c
-	return &engine.Call{Address: r.engine.Address, ID: c.name + "-" + strconv.Itoa(r.n), Key: c.key, Trace: c.trace, Body: body,
+	return &engine.Call{Address: r.engine, ID: c.name + "-" + strconv.Itoa(r.n), Key: c.key, Trace: c.trace, Body: body,
 		Heard: func(report []float64) {
-			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine.Address, Outcome: decide.Finished, Report: report})
+			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
 }
 
@@ -155,10 +155,10 @@
 	timer.Stop()
 	switch {
 	case result.Outcome == decide.Read:
-		c.hold(&holding{address: r.engine.Address, id: call.ID, params: result.State})
+		c.hold(&holding{address: r.engine, id: call.ID, params: result.State})
 	case mayRun(result.Outcome) && !result.Done:
 		// It may have been read all the same: the state is let go by its id.
-		c.e.release(&holding{address: r.engine.Address, id: call.ID}, "unsure")
+		c.e.release(&holding{address: r.engine, id: call.ID}, "unsure")
 	}
 	r.ended(result)
 }
@@ -186,7 +186,7 @@
 		return
 	}
 	c.giveBack(r.state, true) // a first token: the state was fetched
-	c.placeTaken(r.engine.Address)
+	c.placeTaken(r.engine)
 	c.mu.Lock() // with cancel: what is cancelled does not win, what has won is not cancelled
 	won := r.ctx.Err() == nil && c.won.CompareAndSwap(0, int32(r.n)+1)
 	c.mu.Unlock()
@@ -205,7 +205,7 @@
 func (r *run) ended(result *engine.Result) {
 	c, took := r.c, time.Since(r.at)
 	if result.Err != nil {
-		c.e.o.Log.Debug("dispatch failed", "completion", c.name, "dispatch", r.n, "engine", r.engine.Address, "outcome", result.Outcome, "err", result.Err)
+		c.e.o.Log.Debug("dispatch failed", "completion", c.name, "dispatch", r.n, "engine", r.engine, "outcome", result.Outcome, "err", result.Err)
 	}
 	if result.Body != nil && c.won.CompareAndSwap(0, answered) {
 		c.fault <- result
@@ -382,7 +382,7 @@
 
 // holdPlace asks a writer for a place.
 func (c *completion) holdPlace(o link.Order) {
-	h := &holding{address: o.Engine.Address, id: c.name + "-place"}
+	h := &holding{address: o.Engine, id: c.name + "-place"}
 	c.e.runs.Add(1)
 	go func() {
 		defer c.e.runs.Add(-1)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -62,7 +62,7 @@
 }
 
 func (s *script) order(kind link.OrderKind, of link.Fact, n int, address string) {
-	s.e.Order(link.Order{Kind: kind, Completion: of.Completion, Dispatch: n, Engine: link.Engine{Address: address}, Timeout: 5})
+	s.e.Order(link.Order{Kind: kind, Completion: of.Completion, Dispatch: n, Engine: address, Timeout: 5})
 }
 
 type quiet struct{}
@@ -387,7 +387,7 @@
 	defer server.Close()
 	s := &script{told: func(s *script, f link.Fact) {
 		if f.Kind == link.Take {
-			s.e.Order(link.Order{Kind: link.Dispatch, Completion: f.Completion, Reads: true, Engine: link.Engine{Address: ln.Addr().String()}, Timeout: 5})
+			s.e.Order(link.Order{Kind: link.Dispatch, Completion: f.Completion, Reads: true, Engine: ln.Addr().String(), Timeout: 5})
 		}
 	}}
 	url := serve(t, s, nil)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -267,7 +267,7 @@
 	case errors.Is(cause, engine.ErrCancelled):
 		return &apiError{kind: "server_error", code: "stopping", message: "aborted: this router is stopping"}
 	}
-	c.e.o.Log.Info("answer broke", "completion", c.name, "engine", r.engine.Address, "err", err)
+	c.e.o.Log.Info("answer broke", "completion", c.name, "engine", r.engine, "err", err)
 	return &apiError{kind: "server_error", code: "answer_broken", message: "aborted: the answer broke on its way"}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -80,17 +80,11 @@
 	Reads      bool // the engine is a reader: it is to read the prompt and hold the state
 	Dispatch   int
 	Completion uint64
-	Engine     Engine
+	Engine     string  // its address
 	Timeout    float64 // seconds
 	ComeBack   float64 // seconds until a client may try again, 0 for no advice
 }
 
-// Engine names an engine to an edge.
-type Engine struct {
-	Index   int
-	Address string
-}
-
 // Planner is what an edge sees of a planner. Neither call blocks.
 type Planner interface {
 	// Offer offers a completion to be taken (a Take). False: it is not taken, and nothing will come of it.
--- a/internal/planner/engines.go
+++ b/internal/planner/engines.go
@@ -236,4 +236,4 @@
 	return longest, nil
 }
 
-func (t *engines) name(i int) link.Engine { return link.Engine{Index: i, Address: t.known[i].address} }
+func (t *engines) name(i int) string { return t.known[i].address }
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -135,8 +135,8 @@
 	p.step()
 	sent := b.of(link.Dispatch)
 	require.Len(t, sent, 2)
-	assert.Equal(t, []any{true, "10.0.0.1:8000", 0}, []any{sent[0].Reads, sent[0].Engine.Address, sent[0].Dispatch})
-	assert.Equal(t, []any{false, "10.0.0.2:8000", 1}, []any{sent[1].Reads, sent[1].Engine.Address, sent[1].Dispatch})
+	assert.Equal(t, []any{true, "10.0.0.1:8000", 0}, []any{sent[0].Reads, sent[0].Engine, sent[0].Dispatch})
+	assert.Equal(t, []any{false, "10.0.0.2:8000", 1}, []any{sent[1].Reads, sent[1].Engine, sent[1].Dispatch})
 	p.Tell(link.Fact{Kind: link.Started, Completion: 1, Dispatch: 1, Took: 0.1})
 	p.Tell(link.Fact{Kind: link.Ended, Completion: 1, Dispatch: 1, Outcome: decide.Finished, Done: true})
 	p.step()
@@ -192,7 +192,7 @@
 	again := e.facts(100, list(decide.ListDelta, entry(3, "read", decide.Ready)))
 	require.Len(t, again, 1)
 	assert.Equal(t, 1, again[0].Engine, "and serves another")
-	assert.Equal(t, "10.0.0.3:8000", e.name(1).Address)
+	assert.Equal(t, "10.0.0.3:8000", e.name(1))
 }
 
 // TestNamesBounded: names of zones and cells go with the engines that had them, so a list that names ever new ones
@@ -242,7 +242,7 @@
 		require.Zero(t, facts[0].Engine)
 		require.NotEqual(t, facts[1].Engine, facts[2].Engine)
 		for k, f := range facts {
-			require.Equal(t, l.Entries[k].Address, e.name(f.Engine).Address)
+			require.Equal(t, l.Entries[k].Address, e.name(f.Engine))
 		}
 	}
 	l := &link.List{Kind: decide.ListFull}
@@ -319,7 +319,7 @@
 	p.Offer(take(1, 0, 100, time.Second))
 	p.step()
 	require.Len(t, b.of(link.Dispatch), 1)
-	assert.Equal(t, entry(3, "", 0).Address, b.of(link.Dispatch)[0].Engine.Address, "the late report of 2 is not 3's")
+	assert.Equal(t, entry(3, "", 0).Address, b.of(link.Dispatch)[0].Engine, "the late report of 2 is not 3's")
 }
 
 // TestStalledMailbox: while the planner stands still, news and reports come by the thousand and what waits stays
@@ -341,7 +341,7 @@
 	}
 	p.step()
 	for _, o := range b.of(link.Dispatch) {
-		assert.Equal(t, entry(1, "", 0).Address, o.Engine.Address, "the one that is ready by the last news")
+		assert.Equal(t, entry(1, "", 0).Address, o.Engine, "the one that is ready by the last news")
 	}
 	require.Len(t, b.of(link.Dispatch), 16, "as many as may wait")
 	p.Tell(fleet(decide.ListFull, entry(2, "write", decide.Ready)))
@@ -354,7 +354,7 @@
 	p.Offer(take(99, 0, 100, time.Second))
 	p.step()
 	sent := b.of(link.Dispatch)
-	assert.Equal(t, entry(4, "", 0).Address, sent[len(sent)-1].Engine.Address, "a whole list replaces all before it")
+	assert.Equal(t, entry(4, "", 0).Address, sent[len(sent)-1].Engine, "a whole list replaces all before it")
 }
 
 // TestNewsFirst: what was offered, and timers that came due, before the news of a drain send nothing there once the
