--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -38,3 +38,16 @@
 		})
 	}
 }
+
+// FuzzBatch: whatever comes on the wire, the host answers or says what is malformed; it never panics.
+func FuzzBatch(f *testing.F) {
+	f.Add(1, []byte{0x42, 0x04, 4, 0, 0, 0, 3, 0, 0, 0})
+	f.Add(2, []byte{0xf2, 0x03, 17, 0, 0, 0, 3, 0, 0, 0, 2, 0, 0, 0, 0, 0, 0, 0, 0, 0xff, 0xff, 0xff, 0xff})
+	f.Add(1, []byte{0xe8, 0x03, 18, 0, 0, 0, 3, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2, 0, 0, 0, '{', '}'})
+	f.Fuzz(func(t *testing.T, count int, body []byte) {
+		h := NewHost()
+		if reply, err := h.Batch(count&63, 1, body); err == nil && len(reply) < 8 {
+			t.Fatalf("a reply of %d bytes", len(reply))
+		}
+	})
+}
