--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -528,3 +529,16 @@
 
 func (p planFunc) Offer(f link.Fact) bool { return p(f) }
 func (p planFunc) Tell(f link.Fact)       { p(f) }
+
+// TestReleasesAreBounded: past the most that may run a state is given up with an error that names it.
+func TestReleasesAreBounded(t *testing.T) {
+	s, logs := &script{}, &bytes.Buffer{}
+	serve(t, s, func(o *Options) { o.Log = slog.New(slog.NewTextHandler(logs, nil)) })
+	s.e.releases.Store(releaseMost)
+	s.e.release(&holding{address: "127.0.0.1:1", id: "ch-x-1"}, "planner")
+	assert.Equal(t, int64(releaseMost), s.e.releases.Load())
+	assert.Contains(t, logs.String(), "too many releases run")
+	assert.Contains(t, logs.String(), "ch-x-1")
+	_, dispatches := s.e.Active()
+	assert.Zero(t, dispatches)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,8 @@
 //
 // epoch grows with each start of the service, version with each change; a delta's is the one before it plus
 // one. start tells two starts of an engine apart; age_s is its age when the line is sent, left out for long ago;
-// below 0 it counts as 0.
+// below 0 it counts as 0. Where start is left out what was told before stays. Where an engine has another start, or is
+// back after it was gone and none is told, and age_s is left out, it counts as started when the line came.
 // A file holds one line of the kind "full", as does the answer to a GET without watch=1: where the settings say
 // that the service is to be asked, it is, each poll.
 package fleet
