--- a/internal/router/churn_test.go
+++ b/internal/router/churn_test.go
@@ -353,27 +353,35 @@
 
 // TestStopAtOnce: a router that is stopped while it still starts to serve leaves nothing behind either.
 func TestStopAtOnce(t *testing.T) {
-	files, goroutines := 0, 0
-	for i := range 60 {
-		if i == 1 { // the first, which serves, leaves what the process keeps: the poller
-			files, goroutines = held(t)
-		}
-		r := &pb.Router{}
-		require.NoError(t, config.Parse("router", []byte(settings), r))
-		one, err := Start(r, slog.New(slog.DiscardHandler))
-		require.NoError(t, err)
-		if i == 0 {
-			time.Sleep(100 * time.Millisecond)
-		}
-		time.Sleep(time.Duration(i%12) * 50 * time.Microsecond)
-		require.NoError(t, one.Stop())
-	}
-	for range 50 {
-		time.Sleep(10 * time.Millisecond)
-		if f, g := held(t); f <= files && g <= goroutines {
-			return
-		}
+	dir := t.TempDir()
+	certFile, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
+	newAuthority(t).issue("router.example", certFile, keyFile)
+	for name, secure := range map[string]*pb.Tls{"plain": nil, "TLS": {CertificateFile: &certFile, KeyFile: &keyFile, PollS: proto.Float64(0.05)}} {
+		t.Run(name, func(t *testing.T) {
+			files, goroutines := 0, 0
+			for i := range 60 {
+				if i == 1 { // the first, which serves, leaves what the process keeps: the poller
+					files, goroutines = held(t)
+				}
+				r := &pb.Router{}
+				require.NoError(t, config.Parse("router", []byte(settings), r))
+				r.Tls = secure
+				one, err := Start(r, slog.New(slog.DiscardHandler))
+				require.NoError(t, err)
+				if i == 0 {
+					time.Sleep(100 * time.Millisecond)
+				}
+				time.Sleep(time.Duration(i%12) * 50 * time.Microsecond)
+				require.NoError(t, one.Stop())
+			}
+			for range 50 {
+				time.Sleep(10 * time.Millisecond)
+				if f, g := held(t); f <= files && g <= goroutines {
+					return
+				}
+			}
+			f, g := held(t)
+			assert.Fail(t, "left behind", "%d descriptors, %d goroutines", f-files, g-goroutines)
+		})
 	}
-	f, g := held(t)
-	assert.Fail(t, "left behind", "%d descriptors, %d goroutines", f-files, g-goroutines)
 }
