--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -551,7 +551,13 @@
 	r.learn(e, &p, 0, -1)
 	r.At(2*keepsFor + 2)
 	r.learn(e, &p, 0, -1)
+	r.judge(e, 0) // as with each claim
 	assert.LessOrEqual(t, claims(), 2, "what has lapsed is given up with time too")
+	r.Listed(ListDelta, nil)
+	assert.Positive(t, claims(), "not what may still be kept")
+	r.At(3*keepsFor + 3)
+	r.Listed(ListDelta, nil)
+	assert.Zero(t, claims(), "all have lapsed: they go with the next list")
 }
 
 func TestUnknownEngine(t *testing.T) {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -542,3 +542,12 @@
 	_, dispatches := s.e.Active()
 	assert.Zero(t, dispatches)
 }
+
+// TestReportsNameTheirEngine by its address, as an index may be another's by the time that a report is read.
+func TestReportsNameTheirEngine(t *testing.T) {
+	s := &script{}
+	serve(t, s, nil)
+	s.e.Order(link.Order{Kind: link.Probe, Engine: "127.0.0.1:1"})
+	require.Eventually(t, func() bool { return s.count(link.Probed) == 1 }, 2*time.Second, time.Millisecond)
+	assert.Equal(t, "127.0.0.1:1", s.facts[0].Address)
+}
