One place for what the review's mends wrote twice or kept beside what says it

Seen on reading the whole change: the judge named why an engine doesn't hear in two ways (rules.go, probes.go); the mailbox kept a mark beside the list that it marks; an engine's record kept the names of its zone and cell beside their indices; a failed start asked a flag in its own loop; BenchmarkTake had its own part(). A test's comment still spoke of indices that rest. Now why() serves both counts, an atomic pointer is list and mark, the held name of the cell tells a move, a start that serves empties its list of ends, and part() is called. Tests of rules, planner, peer, router's starts, decide; planner and edge under -race: pass. decide.go untouched.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -640,7 +640,7 @@
 	s, facts := settings(), []Fact{}
 	s.Routers, s.Columns = 100, []string{"queue", "util", "x0", "x1"}
 	for i := range 100 {
-		facts = append(facts, ready(i, part3(i), i/10, longAgo))
+		facts = append(facts, ready(i, int(part(i%10 >= 3)), i/10, longAgo))
 	}
 	r, err := New(s, &book{ends: map[uint64]int{}, held: map[uint64]bool{}, calls: map[uint64][]int{}})
 	if err != nil {
@@ -662,14 +662,6 @@
 	}
 }
 
-// part3 is a reader for three of ten engines, else a writer.
-func part3(i int) int {
-	if i%10 < 3 {
-		return 0
-	}
-	return 1
-}
-
 // The two below are expected to fail once what they assert is mended: findings 29 and 31 of docs/readiness-review.md.
 func TestKnownFaultPicksTwice(t *testing.T) {
 	draws := func(probes bool) (n int) {
--- a/internal/planner/engines.go
+++ b/internal/planner/engines.go
@@ -30,10 +30,8 @@
 type known struct {
 	address string
 	listed  bool
-	zone    string
-	cell    string
-	zoneAt  int // index of the zone
-	cellAt  int
+	zone    int // index of its name
+	cell    int // as zone
 	machine int
 	role    decide.Role
 	phase   decide.Phase
@@ -157,7 +155,7 @@
 
 func (t *engines) fact(i int) decide.Fact {
 	k := &t.known[i]
-	return decide.Fact{Engine: i, Mark: xxhash.Sum64String(k.address), Zone: k.zoneAt, Kind: k.machine, Cell: k.cellAt, Phase: k.phase, Started: k.started}
+	return decide.Fact{Engine: i, Mark: xxhash.Sum64String(k.address), Zone: k.zone, Kind: k.machine, Cell: k.cell, Phase: k.phase, Started: k.started}
 }
 
 // starts finds when an engine started. A restart shows as another start. Within one start the age is read once:
@@ -183,28 +181,29 @@
 
 // place has an engine hold the names of where it is.
 func (t *engines) place(now float64, k *known, e *link.Entry) error {
-	if k.listed && k.zone == e.Zone && k.cell == e.Cell {
+	name := e.Zone + "\x00" + e.Cell // a cell is of its zone
+	if k.listed && t.cells.all[k.cell].name == name {
 		return nil
 	}
 	zone, err := t.zones.hold(now, e.Zone)
 	if err != nil {
 		return err
 	}
-	cell, err := t.cells.hold(now, e.Zone+"\x00"+e.Cell)
+	cell, err := t.cells.hold(now, name)
 	if err != nil {
 		t.zones.drop(now, zone)
 		return err
 	}
 	t.leave(now, k)
-	k.zone, k.cell, k.zoneAt, k.cellAt = e.Zone, e.Cell, zone, cell
+	k.zone, k.cell = zone, cell
 	return nil
 }
 
 // leave gives up the names that an engine holds, if it was ever listed.
 func (t *engines) leave(now float64, k *known) {
 	if k.listed {
-		t.zones.drop(now, k.zoneAt)
-		t.cells.drop(now, k.cellAt)
+		t.zones.drop(now, k.zone)
+		t.cells.drop(now, k.cell)
 	}
 }
 
--- a/internal/planner/mailbox.go
+++ b/internal/planner/mailbox.go
@@ -21,13 +21,12 @@
 type mailbox struct {
 	mu     sync.Mutex
 	facts  []link.Fact
-	probed map[string]int // where an engine's report waits, by address
-	list   *link.List     // news that waits, nil for none
-	heard  atomic.Bool    // there is some
-	offers int            // that wait
-	open   int            // completions taken, and not yet closed by the planner
-	most   int            // offers that may wait
-	mostIn int            // completions that may be open
+	probed map[string]int            // where an engine's report waits, by address
+	list   atomic.Pointer[link.List] // news that waits, nil for none; changed under the lock
+	offers int                       // that wait
+	open   int                       // completions taken, and not yet closed by the planner
+	most   int                       // offers that may wait
+	mostIn int                       // completions that may be open
 	ring   chan struct{}
 }
 
@@ -52,8 +51,7 @@
 	m.mu.Lock()
 	switch at, waits := m.probed[f.Address]; {
 	case f.Kind == link.Listed:
-		m.list = merged(m.list, f.List)
-		m.heard.Store(true)
+		m.list.Store(merged(m.list.Load(), f.List))
 	case f.Kind == link.Probed && waits:
 		m.facts[at] = f
 	default:
@@ -114,15 +112,12 @@
 
 // news is what the list told since it was last asked, nil for nothing.
 func (m *mailbox) news() *link.List {
-	if !m.heard.Load() {
+	if m.list.Load() == nil { // as before most facts
 		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := m.list
-	m.list = nil
-	m.heard.Store(false)
-	return l
+	return m.list.Swap(nil)
 }
 
 func (m *mailbox) closed(n int) {
@@ -136,7 +131,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	waiting = len(m.facts)
-	if m.list != nil {
+	if m.list.Load() != nil {
 		waiting++
 	}
 	return waiting, m.open
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -239,8 +239,8 @@
 	}
 }
 
-// TestIndicesUnderPressure: where all indices are taken and none has rested, an engine that is there goes before the one that
-// is gone for longest; one that is there is never put out.
+// TestIndicesUnderPressure: where all indices are taken, a new engine gets that of the one gone for longest; one that is
+// there is never put out.
 func TestIndicesUnderPressure(t *testing.T) {
 	e := newEngines(4, []Machine{{"read", decide.Reader}}, "home", slog.New(slog.DiscardHandler))
 	for i := range 100 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,12 +57,8 @@
 func Start(r *pb.Router, log *slog.Logger) (*Router, error) {
 	log = log.With("router", r.GetName())
 	var undo []func() error
-	serves := false
 	defer func() { // what was begun ends with a start that failed
 		for _, f := range slices.Backward(undo) {
-			if serves {
-				return
-			}
 			f() //nolint:errcheck // the start's own error is told
 		}
 	}()
@@ -127,7 +123,7 @@
 	if err := one.serveAdmin(); err != nil {
 		return nil, err
 	}
-	serves = true
+	undo = nil
 	ctx, end := context.WithCancel(context.Background())
 	one.end = end
 	one.parts.Go(func() { p.Run(ctx) })
--- a/internal/rules/probes.go
+++ b/internal/rules/probes.go
@@ -80,7 +80,12 @@
 // why is what keeps an engine from hearing: it is down, or deaf to a router or all.
 func why(ev *pb.EngineEvent) string {
 	if k := ev.GetKind(); k == pb.EngineEvent_DOWN || k == pb.EngineEvent_UP {
-		return "down"
+		return isDown
 	}
-	return "deaf to " + ev.GetPeer()
+	return isDeafTo + ev.GetPeer()
 }
+
+const (
+	isDown   = " is down"
+	isDeafTo = " is deaf to " // a router, or nobody named: to all
+)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -425,12 +425,6 @@
 	out := map[string][]span{}                               // dispatches by completion
 	running := map[string]int{}                              // index into out, by engine and dispatch
 	off, routers := map[string][]span{}, map[string]string{} // off: by engine and why, since it may be down and deaf at once
-	begins := func(why string, at float64) { off[why] = append(off[why], span{at, math.Inf(1)}) }
-	ceases := func(why string, at float64) {
-		for i := range off[why] {
-			off[why][i].to = min(off[why][i].to, at)
-		}
-	}
 	var order []string
 	for _, e := range r.entries {
 		ev, at := e.GetEngine(), e.GetAtS()
@@ -452,14 +446,14 @@
 			if _, known := open[id]; known {
 				ends[id] = at
 			}
-		case pb.EngineEvent_DOWN:
-			begins(ev.GetEngine(), at)
-		case pb.EngineEvent_UP:
-			ceases(ev.GetEngine(), at)
-		case pb.EngineEvent_DEAF:
-			begins(ev.GetEngine()+" to "+ev.GetPeer(), at)
-		case pb.EngineEvent_HEARS:
-			ceases(ev.GetEngine()+" to "+ev.GetPeer(), at)
+		case pb.EngineEvent_DEAF, pb.EngineEvent_DOWN:
+			key := ev.GetEngine() + why(ev)
+			off[key] = append(off[key], span{at, math.Inf(1)})
+		case pb.EngineEvent_HEARS, pb.EngineEvent_UP:
+			spans := off[ev.GetEngine()+why(ev)]
+			for i := range spans {
+				spans[i].to = min(spans[i].to, at)
+			}
 		}
 	}
 	for _, id := range order {
@@ -474,7 +468,7 @@
 		if r.killed(routers[h.completion], h.at, end) {
 			continue
 		}
-		busy := slices.Concat(out[h.completion], off[h.engine], off[h.engine+" to "], off[h.engine+" to "+routers[h.completion]])
+		busy := slices.Concat(out[h.completion], off[h.engine+isDown], off[h.engine+isDeafTo], off[h.engine+isDeafTo+routers[h.completion]])
 		if from, gap := longestGap(h.at, end, busy); gap > r.head.GetLetGoS() {
 			r.breach(NothingPinned, from, "dispatch "+h.dispatch, "held at %s for %.3f s while nothing was out, the limit is %.3f s",
 				h.engine, gap, r.head.GetLetGoS())
