--- /dev/null
+++ b/cmd/cherryhub/run.go
@@ -0,0 +1,47 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"cherryhub/internal/platform/service"
+)
+
+// runCommand serves on the operators' platform, which tells all by variables and a file.
+func runCommand() *cobra.Command {
+	return &cobra.Command{Use: "run", Short: "Serve as a router on the platform, by EDGE_CONFIG, until SIGTERM", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			signals := make(chan os.Signal, 8)
+			signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+			c, err := service.Load(os.Getenv)
+			if err != nil {
+				return usage{err}
+			}
+			service.Tune(c)
+			log := service.Log(c.Name)
+			r, err := service.Start(c, log)
+			if err != nil {
+				return err
+			}
+			for {
+				select {
+				case err := <-r.Fault():
+					return errors.Join(err, r.Stop(context.Background()))
+				case s := <-signals:
+					if s != syscall.SIGHUP {
+						return r.Stop(context.Background())
+					}
+					if next, err := service.Load(os.Getenv); err != nil {
+						log.Error("reload: the configuration in force stays", "err", err)
+					} else {
+						r.Reload(next)
+					}
+				}
+			}
+		}}
+}
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -15,16 +15,10 @@
 // completion is one that was taken. Its handler waits for the planner's final answer or for the dispatch
 // that wins; dispatches run beside it and may outlive it.
 type completion struct {
-	e     *Edge
-	id    uint64
-	name  string
-	chat  *chat
-	work  int
-	key   string
-	trace string
-
-	over    func() // gives back what admission let it have; harmless again
-	returns uint64 // knows it again if it comes back before its time
+	e      *Edge
+	id     uint64
+	r      *Request
+	client Client
 
 	won   atomic.Int32        // 0: open; n+1: dispatch n's answer is the client's; answered: it has another one
 	final chan link.Order     // the planner's final answer
@@ -38,6 +32,7 @@
 	wrote   bool     // a write was sent
 	state   *holding // the state that waits at a reader
 	place   *holding
+	one     oneName // in place of both, where engines hold under one name
 }
 
 const answered = -1
@@ -51,10 +46,14 @@
 	at     time.Time
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	stream *engine.Stream
-	state  *holding // that a write fetches
+	stream Stream
+	state  *holding      // that a write fetches
+	sent   chan struct{} // is closed once its last byte is written, or it ended
+	closed sync.Once
 }
 
+func (r *run) wasSent() { r.closed.Do(func() { close(r.sent) }) }
+
 // holding is a state or a place held at an engine under an id.
 type holding struct {
 	address, id string
@@ -108,7 +107,7 @@
 
 // dispatch starts a dispatch; the planner's goroutine calls it, so that a cancel that follows finds it.
 func (c *completion) dispatch(o link.Order) {
-	r := &run{c: c, n: o.Dispatch, engine: o.Engine, reads: o.Reads, at: time.Now()}
+	r := &run{c: c, n: o.Dispatch, engine: o.Engine, reads: o.Reads, at: time.Now(), sent: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancelCause(c.e.base)
 	c.mu.Lock()
 	if c.handled || c.won.Load() == answered {
@@ -129,6 +128,7 @@
 		c.place.used = true
 		c.place.timer.Stop()
 	}
+	c.one.stop()
 	c.mu.Unlock()
 	c.e.runs.Add(1)
 	timeout := time.Duration(o.Timeout * float64(time.Second))
@@ -141,7 +141,11 @@
 
 func (r *run) call(body []byte) *engine.Call {
 	c := r.c
-	return &engine.Call{Address: r.engine, ID: c.name + "-" + strconv.Itoa(r.n), Key: c.key, Trace: c.trace, Body: body,
+	id := c.r.Name
+	if !c.e.o.OneName {
+		id += "-" + strconv.Itoa(r.n)
+	}
+	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Reads: r.reads, Wrote: r.wasSent,
 		Heard: func(report []float64) {
 			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
@@ -150,10 +154,15 @@
 func (r *run) read(timeout time.Duration) {
 	c := r.c
 	timer := time.AfterFunc(timeout, func() { r.cancel(engine.ErrTimedOut) })
-	call := r.call(engine.ReadBody(c.chat.fields))
+	call := r.call(c.r.Body(true, nil))
+	call.Timeout = timeout
 	result := c.e.o.Engines.Read(r.ctx, call)
 	timer.Stop()
 	switch {
+	case c.e.o.OneName:
+		if mayRun(result.Outcome) {
+			c.owe(r.engine)
+		}
 	case result.Outcome == decide.Read:
 		c.hold(&holding{address: r.engine, id: call.ID, params: result.State})
 	case mayRun(result.Outcome) && !result.Done:
@@ -174,7 +183,7 @@
 	if r.state != nil {
 		state = r.state.params
 	}
-	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(engine.WriteBody(c.chat.fields, state, c.e.o.Workloads[c.work].Most)), timeout)
+	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(c.r.Body(false, state)), timeout)
 	if stream == nil {
 		missing := result.Outcome == decide.Full && result.Found == 1
 		c.giveBack(r.state, missing)
@@ -205,12 +214,13 @@
 func (r *run) ended(result *engine.Result) {
 	c, took := r.c, time.Since(r.at)
 	if result.Err != nil {
-		c.e.o.Log.Debug("dispatch failed", "completion", c.name, "dispatch", r.n, "engine", r.engine, "outcome", result.Outcome, "err", result.Err)
+		c.e.o.Log.Debug("dispatch failed", "completion", c.r.Name, "dispatch", r.n, "engine", r.engine, "outcome", result.Outcome, "err", result.Err)
 	}
 	if result.Body != nil && c.won.CompareAndSwap(0, answered) {
 		c.fault <- result
 	}
 	r.cancel(engine.ErrCancelled)
+	r.wasSent()
 	c.e.o.Observe.Dispatched(r.reads, result.Outcome, took)
 	c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: result.Outcome, Took: took.Seconds(),
 		Done: result.Done, Found: result.Found, Report: result.Report})
@@ -218,6 +228,7 @@
 	if c.out--; c.out == 0 && c.place != nil {
 		c.arm(c.place)
 	}
+	c.armOne()
 	c.mu.Unlock()
 	c.settle()
 	c.e.runs.Add(-1)
@@ -239,10 +250,14 @@
 func (c *completion) settle() {
 	c.mu.Lock()
 	over := c.handled && c.out == 0 && c.state == nil && c.place == nil
+	if over && c.one.owes {
+		c.releaseOne("over")
+	}
+	over = over && !c.one.open()
 	c.mu.Unlock()
 	if over {
 		c.e.forget(c.id)
-		c.over()
+		c.r.Over()
 	}
 }
 
@@ -334,6 +349,9 @@
 	if c.place = nil; place != nil {
 		place.timer.Stop()
 	}
+	if c.out == 0 && c.one.owes {
+		c.releaseOne(reason)
+	}
 	c.mu.Unlock()
 	for _, h := range [...]*holding{state, place} {
 		if h != nil {
@@ -353,18 +371,25 @@
 
 // release has an engine drop what it holds, beside everything else.
 func (e *Edge) release(h *holding, reason string) {
+	e.releaseWhile(h, reason, func() bool { return true }, func() {})
+}
+
+// releaseWhile is release as long as it is still wanted; over is called at its end.
+func (e *Edge) releaseWhile(h *holding, reason string, wanted func() bool, over func()) {
 	e.o.Observe.Released(reason)
 	if e.releases.Add(1) > releaseMost {
 		e.releases.Add(-1)
 		e.o.Log.Error("state not released: too many releases run", "engine", h.address, "id", h.id)
+		go over()
 		return
 	}
 	e.runs.Add(1)
 	go func() {
 		defer e.runs.Add(-1)
 		defer e.releases.Add(-1)
+		defer over()
 		began := time.Now()
-		for {
+		for wanted() {
 			ctx, cancel := context.WithTimeout(context.Background(), e.o.LetGo/3)
 			err := e.o.Engines.Release(ctx, h.address, h.id)
 			cancel()
@@ -382,15 +407,19 @@
 
 // holdPlace asks a writer for a place.
 func (c *completion) holdPlace(o link.Order) {
-	h := &holding{address: o.Engine, id: c.name + "-place"}
+	if c.e.o.OneName {
+		c.holdOne(o)
+		return
+	}
+	h := &holding{address: o.Engine, id: c.r.Name + "-place"}
 	c.e.runs.Add(1)
 	go func() {
 		defer c.e.runs.Add(-1)
 		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
 		defer cancel()
-		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.chat.prompt, c.e.ownLetGo())
+		held, err := c.e.o.Engines.Hold(ctx, h.address, h.id, c.r.Prompt.Len, c.e.ownLetGo())
 		if err != nil {
-			c.e.o.Log.Debug("no place", "completion", c.name, "engine", h.address, "err", err)
+			c.e.o.Log.Debug("no place", "completion", c.r.Name, "engine", h.address, "err", err)
 			c.e.release(h, "unsure")
 		}
 		if held && err == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,7 +61,7 @@
 
 // Options of an edge.
 type Options struct {
-	Listener    net.Listener // or Door
+	Listener    net.Listener // or Door; neither: another front calls Take
 	Door        *door.Door   // lets clients in, nil: everybody is
 	Workloads   []Workload
 	Tenants     []Tenant // none: no keys are asked for
@@ -76,7 +76,8 @@
 	BodyRate    float64       // bytes a second
 	ReadRate    float64       // bytes a second at which a client reads at least while an answer waits, 0 for no such limit
 	ComeBack    time.Duration // the advice to one who was not taken, 0 for none
-	Engines     *engine.Client
+	Engines     Engines
+	OneName     bool                                                         // engines hold all of a completion under one name, and any of them lets go of all
 	Probe       func(ctx context.Context, address string) ([]float64, error) // nil: Engines does it
 	Log         *slog.Logger
 	Observe     Observer
@@ -165,6 +166,9 @@
 			e.nobody = i
 		}
 	}
+	if o.Listener == nil && o.Door == nil { // another front calls Take
+		return e
+	}
 	options := []config.Option{server.WithListener(o.Listener), server.WithTransport(netpoll.NewTransporter),
 		server.WithSenseClientDisconnection(true), server.WithStreamBody(true), server.WithDisablePrintRoute(true),
 		server.WithMaxRequestBodySize(o.Limits.MaxBodyBytes), server.WithMaxHeaderBytes(o.Limits.MaxHeaderBytes),
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -87,7 +87,7 @@
 		Limits:   Limits{MaxBodyBytes: 1 << 16, MaxHeaderBytes: 1 << 14, MaxDepth: 20, MaxMessages: 10, MaxAnswerBytes: 1 << 20},
 		Identity: Identity{SessionFrom: []string{"prompt_cache_key"}, SharedFromLeading: true, BytesPerToken: 4},
 		Margin:   100 * time.Millisecond, LetGo: 300 * time.Millisecond, StreamMost: 20 * time.Second, ClientWrite: 500 * time.Millisecond,
-		Idle: 5 * time.Second, ComeBack: time.Second, Engines: client, Log: slog.New(slog.DiscardHandler), Observe: quiet{}}
+		Idle: 5 * time.Second, ComeBack: time.Second, Engines: VLLM(client), Log: slog.New(slog.DiscardHandler), Observe: quiet{}}
 	if change != nil {
 		change(&o)
 	}
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"math"
 	"slices"
 	"strconv"
@@ -21,7 +20,6 @@
 
 	"cherryhub/decide"
 	"cherryhub/internal/engine"
-	"cherryhub/internal/link"
 )
 
 // timeoutHeaders are where a client states its timeout, in seconds: ours, and that of OpenAI's own clients.
@@ -77,103 +75,62 @@
 		e.refuse(rc, bad)
 		return
 	}
-	id := e.next.Add(1)
-	c := &completion{e: e, id: id, name: e.name(id), chat: ch, work: work, over: over, returns: returns,
-		key: string(rc.Request.Header.Peek("Idempotency-Key")), trace: string(rc.Request.Header.Peek("Traceparent")),
-		final: make(chan link.Order, 1), begun: make(chan *run, 1), fault: make(chan *engine.Result, 1)}
-	if c.key == "" {
-		c.key = c.name
-	}
-	rc.Response.Header.Set("X-Request-Id", c.name)
-	e.add(c)
-	if !e.planner.Offer(link.Fact{Kind: link.Take, Completion: id, Deadline: arrived.Add(timeout - margin),
-		Prompt: &decide.Prompt{Workload: work, Tenant: tenant, Session: ch.session, Shared: ch.shared, SharedLen: ch.sharedLen,
-			Len: ch.prompt, MaxAnswer: float64(most)}}) {
-		e.forget(id)
-		over()
+	id := e.NextID()
+	h := &rc.Request.Header
+	r := &Request{ID: id, Name: e.name(id), Key: string(h.Peek("Idempotency-Key")), Trace: string(h.Peek("Traceparent")),
+		Arrived: arrived, Timeout: timeout, Margin: margin, Whole: whole, Over: over,
+		Prompt: decide.Prompt{Workload: work, Tenant: tenant, Session: ch.session, Shared: ch.shared, SharedLen: ch.sharedLen,
+			Len: ch.prompt, MaxAnswer: float64(most)},
+		Body: func(reads bool, state []byte) []byte {
+			if reads {
+				return engine.ReadBody(ch.fields)
+			}
+			return engine.WriteBody(ch.fields, state, w.Most)
+		}}
+	if r.Key == "" {
+		r.Key = r.Name
+	}
+	rc.Response.Header.Set("X-Request-Id", r.Name)
+	if _, taken := e.Take(ctx, r, &chatClient{e: e, rc: rc, chat: ch, r: r, returns: returns}); !taken {
 		setComeBack(rc, e.o.ComeBack.Seconds())
 		e.refuse(rc, e.busy())
-		return
 	}
-	e.o.Observe.Took(work)
-	how := c.serve(ctx, rc, arrived, arrived.Add(timeout-margin/2), arrived.Add(whole-margin/2))
-	e.o.Observe.Answered(work, how, time.Since(arrived))
-	if e.o.Log.Enabled(ctx, slog.LevelDebug) {
-		e.o.Log.Debug("completion answered", "completion", c.name, "workload", w.Name, "answer", how.String(), "seconds", time.Since(arrived).Seconds())
-	}
-	c.mu.Lock()
-	c.handled = true
-	c.mu.Unlock()
-	c.settle()
 }
 
-// serve waits for what becomes of the completion and answers the client.
-func (c *completion) serve(ctx context.Context, rc *app.RequestContext, arrived, deadline, end time.Time) Answer {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case r := <-c.begun:
-		return c.relay(ctx, rc, r, arrived, end)
-	case result := <-c.fault:
-		return c.giveFault(rc, result)
-	case o := <-c.final:
-		if c.won.CompareAndSwap(0, answered) {
-			return c.giveFinal(rc, o, deadline)
-		}
-	case <-ctx.Done():
-		if c.won.CompareAndSwap(0, answered) {
-			c.leave()
-			return Gone
-		}
-	case <-timer.C:
-		// The planner is late. That guards against one that is stalled; it answers in time by itself.
-		if c.won.CompareAndSwap(0, answered) {
-			c.leave()
-			return c.giveFinal(rc, link.Order{Kind: link.Abort}, deadline)
-		}
-	}
-	select { // in the same instant an engine's answer won
-	case r := <-c.begun:
-		return c.relay(ctx, rc, r, arrived, end)
-	case result := <-c.fault:
-		return c.giveFault(rc, result)
-	}
+// chatClient is the client of a chat call.
+type chatClient struct {
+	e       *Edge
+	rc      *app.RequestContext
+	chat    *chat
+	r       *Request
+	returns uint64 // knows it again if it comes back before its time
 }
 
-// giveFault hands on an engine's word that the completion is at fault.
-func (c *completion) giveFault(rc *app.RequestContext, result *engine.Result) Answer {
-	c.e.refuse(rc, &apiError{status: result.Status, message: string(result.Body)})
-	return Finished
+// Fault is of Client, as are the methods below.
+func (c *chatClient) Fault(status int, body []byte) {
+	c.e.refuse(c.rc, &apiError{status: status, message: string(body)})
 }
 
-// leave tells the planner that no answer is owed any more, and ends the dispatches.
-func (c *completion) leave() {
-	c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
-	c.cancelAll(engine.ErrCancelled)
+func (c *chatClient) RateLimit(comeBack float64) {
+	setComeBack(c.rc, comeBack)
+	c.e.rateLimited(c.returns, comeBack)
+	c.e.refuse(c.rc, &apiError{status: 429, kind: "requests", code: "rate_limit_exceeded",
+		message: "rate-limited: trying again is harmless"})
 }
 
-// giveFinal gives the planner's final answer.
-func (c *completion) giveFinal(rc *app.RequestContext, o link.Order, deadline time.Time) Answer {
-	if o.Kind == link.RateLimit {
-		setComeBack(rc, o.ComeBack)
-		c.e.rateLimited(c.returns, o.ComeBack)
-		c.e.refuse(rc, &apiError{status: 429, kind: "requests", code: "rate_limit_exceeded",
-			message: "rate-limited: trying again is harmless"})
-		return RateLimited
-	}
-	c.noRetry(rc)
+func (c *chatClient) Abort(late bool) {
+	c.noRetry()
 	err := &apiError{status: 503, kind: "server_error", code: "aborted", message: "aborted: it is not known what was done"}
-	if time.Until(deadline) <= c.e.o.Margin {
+	if late {
 		err = &apiError{status: 504, kind: "server_error", code: "client_timeout", message: "aborted: the client timeout is spent"}
 	}
-	c.e.refuse(rc, err)
-	return Aborted
+	c.e.refuse(c.rc, err)
 }
 
 // noRetry keeps OpenAI's clients from trying again by themselves what may not run twice.
-func (c *completion) noRetry(rc *app.RequestContext) {
-	if c.e.o.Workloads[c.work].Effect == decide.NonIdempotent {
-		rc.Response.Header.Set("X-Should-Retry", "false")
+func (c *chatClient) noRetry() {
+	if c.e.o.Workloads[c.r.Prompt.Workload].Effect == decide.NonIdempotent {
+		c.rc.Response.Header.Set("X-Should-Retry", "false")
 	}
 }
 
@@ -184,32 +141,18 @@
 	}
 }
 
-// relay hands a dispatch's answer to the client, event by event or as a whole.
-func (c *completion) relay(ctx context.Context, rc *app.RequestContext, r *run, arrived, end time.Time) Answer {
-	c.e.o.Observe.FirstToken(c.work, time.Since(arrived))
-	stop := context.AfterFunc(ctx, func() { r.cancel(engine.ErrCancelled) })
-	defer stop()
-	timer := time.AfterFunc(time.Until(end), func() { r.cancel(engine.ErrTimedOut) })
-	defer timer.Stop()
-	var how Answer
+// Relay is of Client.
+func (c *chatClient) Relay(ctx, run context.Context, stream Stream) Answer {
 	if c.chat.stream {
-		how = c.relayStream(ctx, rc, r)
-	} else {
-		how = c.relayWhole(ctx, rc, r)
-	}
-	if how == Gone {
-		r.cancel(engine.ErrCancelled)
-		c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
-	}
-	result := r.stream.Close()
-	result.Done = true
-	r.ended(result)
-	return how
+		return c.relayStream(ctx, run, stream)
+	}
+	return c.relayWhole(ctx, run, stream)
 }
 
 // relayStream writes events as they come. A client that reads slowly holds up its own stream alone: what is
 // in memory is one event and the sockets' buffers, and a write that waits too long ends it.
-func (c *completion) relayStream(ctx context.Context, rc *app.RequestContext, r *run) Answer {
+func (c *chatClient) relayStream(ctx, run context.Context, stream Stream) Answer {
+	rc := c.rc
 	h := &rc.Response.Header
 	h.SetContentType("text/event-stream")
 	h.Set("Cache-Control", "no-cache")
@@ -218,13 +161,13 @@
 	var wrote float64
 	var waited time.Duration
 	for {
-		event, err := r.stream.Next()
+		event, err := stream.Next()
 		switch {
 		case err == nil && event.Usage && !c.chat.usage:
 			continue
 		case err == nil:
 			out = append(append(append(out, "data: "...), event.Data...), "\n\n"...)
-			if r.stream.More() && len(out) < flushMost {
+			if stream.More() && len(out) < flushMost {
 				continue
 			}
 		case errors.Is(err, io.EOF):
@@ -232,7 +175,7 @@
 		case ctx.Err() != nil:
 			return Gone
 		default:
-			out = append(append(append(out, "data: "...), c.broken(r, err).body()...), "\n\n"...)
+			out = append(append(append(out, "data: "...), c.broken(run, err).body()...), "\n\n"...)
 		}
 		began := time.Now()
 		if _, fault := rc.Write(out); fault != nil || rc.Flush() != nil {
@@ -259,23 +202,24 @@
 const flushMost = 16 << 10
 
 // broken is the error event of an answer that ended in the middle.
-func (c *completion) broken(r *run, err error) *apiError {
-	cause := context.Cause(r.ctx)
+func (c *chatClient) broken(run context.Context, err error) *apiError {
+	cause := context.Cause(run)
 	switch {
 	case errors.Is(cause, engine.ErrTimedOut):
 		return &apiError{kind: "server_error", code: "client_timeout", message: "aborted: the time for the answer is spent"}
 	case errors.Is(cause, engine.ErrCancelled):
 		return &apiError{kind: "server_error", code: "stopping", message: "aborted: this router is stopping"}
 	}
-	c.e.o.Log.Info("answer broke", "completion", c.name, "engine", r.engine, "err", err)
+	c.e.o.Log.Info("answer broke", "completion", c.r.Name, "err", err)
 	return &apiError{kind: "server_error", code: "answer_broken", message: "aborted: the answer broke on its way"}
 }
 
 // relayWhole gathers the events into one answer.
-func (c *completion) relayWhole(ctx context.Context, rc *app.RequestContext, r *run) Answer {
+func (c *chatClient) relayWhole(ctx, run context.Context, stream Stream) Answer {
+	rc := c.rc
 	var whole gathered
 	for {
-		event, err := r.stream.Next()
+		event, err := stream.Next()
 		if err == nil {
 			err = whole.add(event.Data, c.e.o.Limits.MaxAnswerBytes)
 		}
@@ -284,14 +228,14 @@
 			continue
 		case errors.Is(err, io.EOF):
 			rc.Response.Header.SetContentType("application/json")
-			usage, told := r.stream.Usage()
+			usage, told := stream.Usage()
 			rc.Write(whole.body(usage, told)) //nolint:errcheck // into the response's buffer
 			return Finished
 		case ctx.Err() != nil:
 			return Gone
 		}
-		c.noRetry(rc)
-		bad := c.broken(r, err)
+		c.noRetry()
+		bad := c.broken(run, err)
 		bad.status = 503
 		if bad.code == "client_timeout" {
 			bad.status = 504
--- /dev/null
+++ b/internal/edge/onename.go
@@ -0,0 +1,120 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cherryhub/internal/link"
+)
+
+// oneName is what engines may hold for a completion where all of it goes by one name: states and places alike, of
+// reads whose end is not known too. One release lets go of all, wherever it is, so it is never sent while a
+// dispatch is out that may need what is held: it guards against a late release that takes a second read's state.
+// It harms where an engine's hold would end sooner by a release of its own. The completion's lock guards it.
+type oneName struct {
+	owes   bool   // something may be held
+	at     string // the engine that was last heard of in this
+	timer  *time.Timer
+	asking int // places that are being asked for
+	frees  int // releases that run
+}
+
+// open tells whether the completion must still be known for it.
+func (o *oneName) open() bool { return o.owes || o.asking > 0 || o.frees > 0 }
+
+func (o *oneName) stop() {
+	if o.timer != nil {
+		o.timer.Stop()
+		o.timer = nil
+	}
+}
+
+// owe books that something may be held.
+func (c *completion) owe(address string) {
+	c.mu.Lock()
+	c.one.owes, c.one.at = true, address
+	c.armOne()
+	c.mu.Unlock()
+}
+
+// armOne lets go before the limit where nothing is out and no order comes, as arm does. It is called with the lock.
+func (c *completion) armOne() {
+	c.one.stop()
+	if c.out > 0 || !c.one.owes {
+		return
+	}
+	c.one.timer = time.AfterFunc(c.e.ownLetGo(), func() {
+		c.mu.Lock()
+		if c.out == 0 && c.one.owes {
+			c.releaseOne("limit")
+		}
+		c.mu.Unlock()
+		c.settle()
+	})
+}
+
+// releaseOne lets go of all; it is called with the lock, and nothing out. A dispatch that is sent meanwhile ends
+// its repeats, and what was not let go is owed again.
+func (c *completion) releaseOne(reason string) {
+	c.one.stop()
+	c.one.owes = false
+	c.one.frees++
+	h := &holding{address: c.one.at, id: c.r.Name}
+	sent := false
+	go c.e.releaseWhile(h, reason, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.out > 0 && !sent {
+			c.one.owes = true
+		}
+		sent = true
+		return c.out == 0
+	}, func() {
+		c.mu.Lock()
+		c.one.frees--
+		c.mu.Unlock()
+		c.settle()
+	})
+}
+
+// holdOne asks a writer for a place once the read's last byte is written. An answer that leaves open whether there is
+// a place tells the planner nothing, as silence would.
+func (c *completion) holdOne(o link.Order) {
+	c.mu.Lock()
+	var read *run
+	if n := len(c.runs); n > 0 {
+		read = c.runs[n-1]
+	}
+	c.one.asking++
+	c.mu.Unlock()
+	c.e.runs.Add(1)
+	go func() {
+		defer c.e.runs.Add(-1)
+		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
+		defer cancel()
+		asked := false
+		if read != nil {
+			select {
+			case <-read.sent:
+				c.mu.Lock()
+				asked = c.out > 0
+				c.mu.Unlock()
+			case <-ctx.Done():
+			}
+		}
+		if asked {
+			c.owe(o.Engine)
+			held, err := c.e.o.Engines.Hold(ctx, o.Engine, c.r.Name, c.r.Prompt.Len, c.e.ownLetGo())
+			c.owe(o.Engine) // an answer may have crossed a release
+			if err == nil {
+				c.e.planner.Tell(link.Fact{Kind: link.Placed, Completion: c.id, Dispatch: o.Dispatch, Held: held})
+			} else {
+				c.e.o.Log.Debug("not known whether a place is held", "completion", c.r.Name, "engine", o.Engine, "err", err)
+			}
+		}
+		c.mu.Lock()
+		c.one.asking--
+		c.mu.Unlock()
+		c.settle()
+	}()
+}
--- /dev/null
+++ b/internal/edge/request.go
@@ -0,0 +1,167 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+)
+
+// Request is what a front tells of a completion.
+type Request struct {
+	ID      uint64 // of NextID
+	Name    string // what engines and the log know it by
+	Key     string // Idempotency-Key, empty for none
+	Trace   string // traceparent, empty for none
+	Target  string // of the call, where engines get the client's own; empty for theirs
+	Prompt  decide.Prompt
+	Arrived time.Time
+	Timeout time.Duration                         // until the first token
+	Margin  time.Duration                         // of it, kept for the way of the final answer
+	Whole   time.Duration                         // until the answer's end
+	Body    func(reads bool, state []byte) []byte // of a dispatch; state is a read's, nil for none
+	Over    func()                                // is called once nothing can come of it any more; may be called again
+}
+
+// Client is a completion's client as its front has it: the completion's record calls one of these once.
+type Client interface {
+	// Relay hands an answer on, event by event or as a whole. ctx ends when the client leaves, run when the
+	// dispatch does, whose cause tells why.
+	Relay(ctx, run context.Context, s Stream) Answer
+	RateLimit(comeBack float64)
+	Abort(late bool) // late: the client timeout is spent
+	Fault(status int, body []byte)
+}
+
+// Stream is a write's answer. One goroutine at a time may use it; Close may be called twice.
+type Stream interface {
+	Next() (engine.Event, error)
+	More() bool // a whole event more has come already
+	Usage() (engine.Usage, bool)
+	Close() *engine.Result
+}
+
+// Engines are the engines by the protocol they speak.
+type Engines interface {
+	Read(ctx context.Context, call *engine.Call) *engine.Result
+	Write(ctx context.Context, cancel context.CancelCauseFunc, call *engine.Call, timeout time.Duration) (Stream, *engine.Result)
+	Release(ctx context.Context, address, id string) error
+	Hold(ctx context.Context, address, id string, tokens float64, lease time.Duration) (held bool, err error)
+	Probe(ctx context.Context, address string) ([]float64, error)
+}
+
+// vllm is the client of vLLM's calls as Engines.
+type vllm struct{ *engine.Client }
+
+// Write is of Engines.
+func (v vllm) Write(ctx context.Context, cancel context.CancelCauseFunc, call *engine.Call, timeout time.Duration) (Stream, *engine.Result) {
+	s, bad := v.Client.Write(ctx, cancel, call, timeout)
+	if s == nil {
+		return nil, bad
+	}
+	return s, nil
+}
+
+// VLLM is a client of vLLM's calls as Engines.
+func VLLM(c *engine.Client) Engines { return vllm{c} }
+
+// NextID is a number for the next completion.
+func (e *Edge) NextID() uint64 { return e.next.Add(1) }
+
+// Take takes a completion and returns once its client has what it gets. False: it is not taken, and its client
+// was told nothing.
+func (e *Edge) Take(ctx context.Context, r *Request, client Client) (Answer, bool) {
+	c := &completion{e: e, id: r.ID, r: r, client: client,
+		final: make(chan link.Order, 1), begun: make(chan *run, 1), fault: make(chan *engine.Result, 1)}
+	e.add(c)
+	prompt := r.Prompt
+	if !e.planner.Offer(link.Fact{Kind: link.Take, Completion: r.ID, Deadline: r.Arrived.Add(r.Timeout - r.Margin), Prompt: &prompt}) {
+		e.forget(r.ID)
+		r.Over()
+		return Aborted, false
+	}
+	e.o.Observe.Took(prompt.Workload)
+	how := c.serve(ctx, r.Arrived.Add(r.Timeout-r.Margin/2), r.Arrived.Add(r.Whole-r.Margin/2))
+	e.o.Observe.Answered(prompt.Workload, how, time.Since(r.Arrived))
+	e.o.Log.Debug("completion answered", "completion", r.Name, "workload", prompt.Workload, "answer", how, "seconds", time.Since(r.Arrived).Seconds())
+	c.mu.Lock()
+	c.handled = true
+	c.mu.Unlock()
+	c.settle()
+	return how, true
+}
+
+// serve waits for what becomes of the completion and answers the client.
+func (c *completion) serve(ctx context.Context, deadline, end time.Time) Answer {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case r := <-c.begun:
+		return c.relay(ctx, r, end)
+	case result := <-c.fault:
+		return c.giveFault(result)
+	case o := <-c.final:
+		if c.won.CompareAndSwap(0, answered) {
+			return c.giveFinal(o, deadline)
+		}
+	case <-ctx.Done():
+		if c.won.CompareAndSwap(0, answered) {
+			c.leave()
+			return Gone
+		}
+	case <-timer.C:
+		// The planner is late. That guards against one that is stalled; it answers in time by itself.
+		if c.won.CompareAndSwap(0, answered) {
+			c.leave()
+			return c.giveFinal(link.Order{Kind: link.Abort}, deadline)
+		}
+	}
+	select { // in the same instant an engine's answer won
+	case r := <-c.begun:
+		return c.relay(ctx, r, end)
+	case result := <-c.fault:
+		return c.giveFault(result)
+	}
+}
+
+// giveFault hands on an engine's word that the completion is at fault.
+func (c *completion) giveFault(result *engine.Result) Answer {
+	c.client.Fault(result.Status, result.Body)
+	return Finished
+}
+
+// leave tells the planner that no answer is owed any more, and ends the dispatches.
+func (c *completion) leave() {
+	c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
+	c.cancelAll(engine.ErrCancelled)
+}
+
+// giveFinal gives the planner's final answer.
+func (c *completion) giveFinal(o link.Order, deadline time.Time) Answer {
+	if o.Kind == link.RateLimit {
+		c.client.RateLimit(o.ComeBack)
+		return RateLimited
+	}
+	c.client.Abort(time.Until(deadline) <= c.e.o.Margin)
+	return Aborted
+}
+
+// relay hands a dispatch's answer to the client.
+func (c *completion) relay(ctx context.Context, r *run, end time.Time) Answer {
+	c.e.o.Observe.FirstToken(c.r.Prompt.Workload, time.Since(c.r.Arrived))
+	stop := context.AfterFunc(ctx, func() { r.cancel(engine.ErrCancelled) })
+	defer stop()
+	timer := time.AfterFunc(time.Until(end), func() { r.cancel(engine.ErrTimedOut) })
+	defer timer.Stop()
+	how := c.client.Relay(ctx, r.ctx, r.stream)
+	if how == Gone {
+		r.cancel(engine.ErrCancelled)
+		c.e.planner.Tell(link.Fact{Kind: link.Left, Completion: c.id})
+	}
+	result := r.stream.Close()
+	result.Done = true
+	r.ended(result)
+	return how
+}
--- a/internal/edge/virtual_test.go
+++ b/internal/edge/virtual_test.go
@@ -265,7 +265,7 @@
 	eo := config.Edge(w.own, w.own.GetAdmission())
 	eo.Listener, err = w.net.Listen(net.JoinHostPort(r.caller.from, "0"))
 	require.NoError(w.t, err)
-	eo.Engines, eo.Log, eo.Observe = r.client, log, quiet{}
+	eo.Engines, eo.Log, eo.Observe = edge.VLLM(r.client), log, quiet{}
 	r.edge = edge.New(eo)
 	po := config.Planner(w.own)
 	po.Log = log
--- a/internal/engine/dial.go
+++ b/internal/engine/dial.go
@@ -13,13 +13,13 @@
 // errNoConns is a dial that was not made: all descriptors kept for engines are in use.
 var errNoConns = errors.New("all connections kept for engines are in use")
 
-// dialer keeps the connections to all engines within the descriptors that are kept for them. Where there is none
+// Dialer keeps the connections to all engines within the descriptors that are kept for them. Where there is none
 // it has idle ones closed and waits, as long as the dial may last. It guards against running the process out of
 // descriptors, and against taking those of clients; it harms where one engine's dials wait for another's streams.
 //
 // Where the process has no descriptors all the same, whoever took them, a spare one makes way for one dial. Idle
 // connections don't: the one to a reader that holds a state is the way by which the state is let go.
-type dialer struct {
+type Dialer struct {
 	next  func(ctx context.Context, network, address string) (net.Conn, error)
 	drop  func() // closes idle connections
 	slots chan struct{}
@@ -29,13 +29,15 @@
 	over  bool // no spare one is opened any more
 }
 
-func newDialer(most int, next func(ctx context.Context, network, address string) (net.Conn, error), drop func()) *dialer {
-	d := &dialer{next: next, drop: drop, slots: make(chan struct{}, most)}
+// NewDialer makes a dialer of so many connections at once over next; drop closes idle ones.
+func NewDialer(most int, next func(ctx context.Context, network, address string) (net.Conn, error), drop func()) *Dialer {
+	d := &Dialer{next: next, drop: drop, slots: make(chan struct{}, most)}
 	d.renew()
 	return d
 }
 
-func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial makes a connection, which counts until it is closed.
+func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	select {
 	case d.slots <- struct{}{}:
 	default:
@@ -62,7 +64,7 @@
 }
 
 // makeWay gives the spare descriptor up, and fails if there is none.
-func (d *dialer) makeWay() bool {
+func (d *Dialer) makeWay() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.spare == nil {
@@ -74,7 +76,7 @@
 }
 
 // renew takes a spare descriptor again where there is none.
-func (d *dialer) renew() {
+func (d *Dialer) renew() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.spare == nil && !d.over {
@@ -84,8 +86,8 @@
 	}
 }
 
-// close gives the spare descriptor back for good.
-func (d *dialer) close() {
+// Close gives the spare descriptor back for good.
+func (d *Dialer) Close() {
 	d.mu.Lock()
 	d.over = true
 	d.mu.Unlock()
@@ -98,6 +100,9 @@
 	over func()
 }
 
+// Unwrap is the connection itself.
+func (c *counted) Unwrap() net.Conn { return c.Conn }
+
 func (c *counted) Close() error {
 	err := c.Conn.Close()
 	c.over()
--- a/internal/engine/dial_test.go
+++ b/internal/engine/dial_test.go
@@ -16,32 +16,32 @@
 
 func TestDialsStayWithinTheirDescriptors(t *testing.T) {
 	dropped := 0
-	d := newDialer(2, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() { dropped++ })
-	defer d.close()
-	one, err := d.dial(t.Context(), "tcp", "x")
+	d := NewDialer(2, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() { dropped++ })
+	defer d.Close()
+	one, err := d.Dial(t.Context(), "tcp", "x")
 	require.NoError(t, err)
-	_, err = d.dial(t.Context(), "tcp", "x")
+	_, err = d.Dial(t.Context(), "tcp", "x")
 	require.NoError(t, err)
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	_, err = d.dial(ctx, "tcp", "x")
+	_, err = d.Dial(ctx, "tcp", "x")
 	require.ErrorIs(t, err, errNoConns)
 	assert.Equal(t, 1, dropped, "idle ones were asked to go")
-	assert.Equal(t, decide.Moot, outcomeOf(t.Context(), err, false), "no fault of the engine")
+	assert.Equal(t, decide.Moot, OutcomeOf(t.Context(), err, false), "no fault of the engine")
 	assert.Equal(t, decide.Finished, ProbeOutcome(err))
 	time.AfterFunc(20*time.Millisecond, func() { one.Close(); one.Close() })
-	_, err = d.dial(t.Context(), "tcp", "x")
+	_, err = d.Dial(t.Context(), "tcp", "x")
 	assert.NoError(t, err, "one became free")
 	ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
-	_, err = d.dial(ctx, "tcp", "x")
+	_, err = d.Dial(ctx, "tcp", "x")
 	assert.ErrorIs(t, err, errNoConns, "closed twice counts once")
 }
 
 func TestSpareMakesWayForADial(t *testing.T) {
 	tries, dropped := 0, 0
-	var d *dialer
-	d = newDialer(4, func(context.Context, string, string) (net.Conn, error) {
+	var d *Dialer
+	d = NewDialer(4, func(context.Context, string, string) (net.Conn, error) {
 		tries++
 		if d.spare != nil {
 			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}
@@ -49,8 +49,8 @@
 		a, _ := net.Pipe()
 		return a, nil
 	}, func() { dropped++ })
-	defer d.close()
-	_, err := d.dial(t.Context(), "tcp", "x")
+	defer d.Close()
+	_, err := d.Dial(t.Context(), "tcp", "x")
 	require.NoError(t, err)
 	assert.Equal(t, 2, tries)
 	assert.Zero(t, dropped, "the ways to engines that hold states stay")
@@ -59,13 +59,13 @@
 
 // TestSpareEndsWithTheClient: a connection that outlives its client opens no descriptor that nobody would close.
 func TestSpareEndsWithTheClient(t *testing.T) {
-	d := newDialer(4, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() {})
-	conn, err := d.dial(t.Context(), "tcp", "x")
+	d := NewDialer(4, func(context.Context, string, string) (net.Conn, error) { a, _ := net.Pipe(); return a, nil }, func() {})
+	conn, err := d.Dial(t.Context(), "tcp", "x")
 	require.NoError(t, err)
-	d.close()
+	d.Close()
 	require.NoError(t, conn.Close())
 	assert.Nil(t, d.spare)
-	_, err = d.dial(t.Context(), "tcp", "x")
+	_, err = d.Dial(t.Context(), "tcp", "x")
 	require.NoError(t, err, "a release at the end is still sent")
 	assert.Nil(t, d.spare)
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,11 +32,11 @@
 	ErrIdle      = errors.New("no token within the stream's idle time")
 )
 
-// errMalformed is an answer that the protocol doesn't allow.
-var errMalformed = errors.New("malformed answer")
+// ErrMalformed is an answer that the protocol doesn't allow.
+var ErrMalformed = errors.New("malformed answer")
 
-// errTruncated is a stream that ended before its final event.
-var errTruncated = errors.New("stream ended before [DONE]")
+// ErrTruncated is a stream that ended before its final event.
+var ErrTruncated = errors.New("stream ended before [DONE]")
 
 // Dial makes a connection, as net.Dialer.DialContext does.
 type Dial = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -58,7 +58,7 @@
 type Client struct {
 	o      Options
 	http   *http.Client
-	dialer *dialer // nil where there is no bound
+	dialer *Dialer // nil where there is no bound
 }
 
 // maxHeaderBytes bounds an engine's answer header.
@@ -81,8 +81,8 @@
 		dial = o.Dial
 	}
 	if o.MaxConns > 0 {
-		c.dialer = newDialer(o.MaxConns, dial, func() { c.http.CloseIdleConnections() })
-		dial = c.dialer.dial
+		c.dialer = NewDialer(o.MaxConns, dial, func() { c.http.CloseIdleConnections() })
+		dial = c.dialer.Dial
 	}
 	copies := &sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
 	c.http = &http.Client{
@@ -120,7 +120,7 @@
 func (c *Client) Close() {
 	c.http.CloseIdleConnections()
 	if c.dialer != nil {
-		c.dialer.close()
+		c.dialer.Close()
 	}
 }
 
@@ -130,7 +130,11 @@
 	ID      string // X-Request-Id: names the dispatch, and the state that a read leaves
 	Key     string // Idempotency-Key, empty for none
 	Trace   string // traceparent, empty for none
+	Target  string // of the call, empty for the chat call's own
 	Body    []byte
+	Reads   bool
+	Timeout time.Duration          // of a read
+	Wrote   func()                 // is called once the last byte is written, nil for none
 	Heard   func(report []float64) // is called with a report in the header, nil for none
 }
 
@@ -169,7 +173,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &Result{Outcome: outcomeOf(ctx, err, wrote.Load()), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+		return nil, &Result{Outcome: OutcomeOf(ctx, err, wrote.Load()), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
 	}
 	if call.Heard != nil {
 		if report := c.o.Figures.fromORCA(resp.Header.Get("Endpoint-Load-Metrics")); report != nil {
@@ -199,8 +203,8 @@
 	return r
 }
 
-// outcomeOf is the outcome of a call that ended with an error. sent tells whether some of it was written.
-func outcomeOf(ctx context.Context, err error, sent bool) decide.Outcome {
+// OutcomeOf is the outcome of a call that ended with an error. sent tells whether some of it was written.
+func OutcomeOf(ctx context.Context, err error, sent bool) decide.Outcome {
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ErrTimedOut), errors.Is(cause, ErrIdle), errors.Is(cause, context.DeadlineExceeded):
 		return decide.TimedOut
@@ -210,14 +214,14 @@
 	var op *net.OpError
 	dial := errors.As(err, &op) && op.Op == "dial" || errors.Is(err, errNoConns)
 	switch {
-	case errors.Is(err, errMalformed):
+	case errors.Is(err, ErrMalformed):
 		return decide.Errored
 	case dial && isLocal(err):
 		return decide.Moot
 	case dial, !sent:
 		return decide.Unreachable
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
-		errors.Is(err, syscall.EPIPE), errors.Is(err, errTruncated), errors.As(err, &op),
+		errors.Is(err, syscall.EPIPE), errors.Is(err, ErrTruncated), errors.As(err, &op),
 		strings.Contains(err.Error(), "server closed idle connection"),
 		strings.Contains(err.Error(), "transport connection broken: EOF"):
 		return decide.Broken
@@ -239,17 +243,17 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.o.MaxEventBytes)+1))
 	if err == nil && len(body) > c.o.MaxEventBytes {
-		err = fmt.Errorf("%w: over %d bytes", errMalformed, c.o.MaxEventBytes)
+		err = fmt.Errorf("%w: over %d bytes", ErrMalformed, c.o.MaxEventBytes)
 	}
 	if err == nil && !gjson.ValidBytes(body) {
-		err = fmt.Errorf("%w: no JSON", errMalformed)
+		err = fmt.Errorf("%w: no JSON", ErrMalformed)
 	}
 	state := gjson.GetBytes(body, "kv_transfer_params")
 	if err == nil && !state.IsObject() {
-		err = fmt.Errorf("%w: a read without kv_transfer_params", errMalformed)
+		err = fmt.Errorf("%w: a read without kv_transfer_params", ErrMalformed)
 	}
 	if err != nil {
-		return &Result{Outcome: outcomeOf(ctx, err, true), Status: resp.StatusCode, Err: fmt.Errorf("read at %s: %w", call.Address, err)}
+		return &Result{Outcome: OutcomeOf(ctx, err, true), Status: resp.StatusCode, Err: fmt.Errorf("read at %s: %w", call.Address, err)}
 	}
 	return &Result{Outcome: decide.Read, Status: resp.StatusCode, State: []byte(state.Raw),
 		Found: gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens").Float()}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -42,6 +42,7 @@
 // Event is one event of a stream. Data holds until the next call.
 type Event struct {
 	Data  []byte // the JSON
+	Raw   []byte // the event as it came with the blank line behind it, where the protocol hands it on so
 	Usage bool   // it holds the usage and no choice
 }
 
@@ -61,7 +62,7 @@
 	}
 	s.resp, s.r = resp, bufio.NewReaderSize(resp.Body, 1<<10)
 	if kind := resp.Header.Get("Content-Type"); !strings.HasPrefix(kind, "text/event-stream") {
-		s.err = fmt.Errorf("%w: content type %q", errMalformed, kind)
+		s.err = fmt.Errorf("%w: content type %q", ErrMalformed, kind)
 	}
 	for s.err == nil {
 		data, token, err := s.next()
@@ -75,7 +76,7 @@
 			return s, nil
 		}
 		if len(s.held) >= maxHeld {
-			s.err = fmt.Errorf("%w: %d events before the first token", errMalformed, maxHeld)
+			s.err = fmt.Errorf("%w: %d events before the first token", ErrMalformed, maxHeld)
 			break
 		}
 		if !s.only {
@@ -117,7 +118,7 @@
 		if s.err == nil {
 			s.err = context.Canceled // closed by us in the middle
 		}
-		r.Outcome = outcomeOf(s.ctx, s.err, true)
+		r.Outcome = OutcomeOf(s.ctx, s.err, true)
 		if errors.Is(s.err, context.Canceled) && r.Outcome == decide.Errored {
 			r.Outcome = decide.Cancelled
 		}
@@ -162,12 +163,12 @@
 	s.buf = s.buf[:0]
 	for {
 		if len(s.buf) > s.c.o.MaxEventBytes {
-			return nil, false, fmt.Errorf("%w: an event of over %d bytes", errMalformed, s.c.o.MaxEventBytes)
+			return nil, false, fmt.Errorf("%w: an event of over %d bytes", ErrMalformed, s.c.o.MaxEventBytes)
 		}
 		begin := len(s.buf)
 		if err := s.line(); err != nil {
 			if errors.Is(err, io.EOF) {
-				err = errTruncated
+				err = ErrTruncated
 			}
 			return nil, false, err
 		}
@@ -193,7 +194,7 @@
 			return err
 		}
 		if len(s.buf) > s.c.o.MaxEventBytes {
-			return fmt.Errorf("%w: an event of over %d bytes", errMalformed, s.c.o.MaxEventBytes)
+			return fmt.Errorf("%w: an event of over %d bytes", ErrMalformed, s.c.o.MaxEventBytes)
 		}
 	}
 }
@@ -202,12 +203,12 @@
 	if bytes.Equal(data, doneMark) {
 		s.done = s.finish
 		if !s.done {
-			return nil, false, fmt.Errorf("%w: [DONE] without a finish_reason", errMalformed)
+			return nil, false, fmt.Errorf("%w: [DONE] without a finish_reason", ErrMalformed)
 		}
 		return nil, false, io.EOF
 	}
 	if !gjson.ValidBytes(data) || data[0] != '{' {
-		return nil, false, fmt.Errorf("%w: an event of no JSON object: %.80q", errMalformed, data)
+		return nil, false, fmt.Errorf("%w: an event of no JSON object: %.80q", ErrMalformed, data)
 	}
 	var fault, usage, choice gjson.Result
 	gjson.Parse(Text(data)).ForEach(func(key, value gjson.Result) bool {
@@ -234,7 +235,7 @@
 		if usage.IsObject() {
 			return data, false, nil
 		}
-		return nil, false, fmt.Errorf("%w: an event without choices: %.80q", errMalformed, data)
+		return nil, false, fmt.Errorf("%w: an event without choices: %.80q", ErrMalformed, data)
 	}
 	token := false
 	choice.ForEach(func(key, value gjson.Result) bool {
--- /dev/null
+++ b/internal/platform/backend/backend.go
@@ -0,0 +1,562 @@
+// Package backend speaks the platform's engines' protocol over net.Conn: one call at a time on a connection, nothing
+// ever written twice by itself, and for every end of a dispatch what is known of whether it ran. It is
+// edge.Engines, knows engines by the name that discovery gives and finds their addresses in what it was last told
+// (Listed). It decides nothing. internal/platform/service makes it.
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/platform/http1"
+)
+
+// Options of a client.
+type Options struct {
+	Columns        []string // of a load report, in decide's order
+	Probes         bool     // probes are allowed
+	ConnectTimeout time.Duration
+	IdleConn       time.Duration // an engine closes a connection that was idle so long
+	MaxConns       int           // open at once to all engines
+	Dial           engine.Dial   // in place of TCP, nil for that
+}
+
+// Client makes dispatches. It is safe for concurrent use.
+type Client struct {
+	o      Options
+	dialer *engine.Dialer
+	report func([]byte) []float64
+
+	mu      sync.Mutex
+	targets map[string]*target // by name
+	names   []string           // of all, in the list's order
+	idle    int
+}
+
+// target is an engine as it is reached.
+type target struct {
+	address string
+	listed  bool
+	goneAt  time.Time
+	idle    []*conn // last used last
+}
+
+// conn is a connection to an engine.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	t     *target
+	since time.Time // idle
+}
+
+// The bounds of what an engine sends. No body exceeds 256 KiB.
+const (
+	headMost   = 16 << 10
+	bodyMost   = 256 << 10
+	fieldsMost = 64
+	bufferSize = 4 << 10
+	keptMost   = 32 // idle connections to one engine
+)
+
+var limits = http1.Limits{Head: headMost, Fields: fieldsMost, Body: bodyMost}
+
+// Times of a connection. An engine's own idle time is its limit: half of it leaves room for a clock that runs late.
+const (
+	idlePart     = 2
+	probeTimeout = 250 * time.Millisecond
+	restMost     = 100 * time.Millisecond // for the body of an answer whose status says all
+	targetRests  = 2 * time.Minute        // an engine that left the list is still reached for releases
+)
+
+// New makes a client.
+func New(o Options) *Client {
+	c := &Client{o: o, targets: map[string]*target{}}
+	next := o.Dial
+	if next == nil {
+		next = (&net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: -1}).DialContext
+	}
+	c.dialer = engine.NewDialer(o.MaxConns, next, c.dropIdle)
+	c.report = func(text []byte) []float64 { return reportOf(o.Columns, text) }
+	return c
+}
+
+// Engine is where an engine is reached.
+type Engine struct{ Name, Address string }
+
+// Listed tells of engines that are new or moved. whole: all others have left.
+func (c *Client) Listed(whole bool, engines []Engine, gone []string) {
+	now := time.Now()
+	var drop []*conn
+	c.mu.Lock()
+	if whole {
+		for _, t := range c.targets {
+			t.listed = false
+		}
+	}
+	for _, e := range engines {
+		t := c.targets[e.Name]
+		if t == nil {
+			t = &target{}
+			c.targets[e.Name] = t
+			c.names = append(c.names, e.Name)
+		}
+		if t.address != e.Address {
+			drop = append(drop, c.empty(t)...)
+		}
+		t.address, t.listed = e.Address, true
+	}
+	for _, name := range gone {
+		if t := c.targets[name]; t != nil {
+			t.listed = false
+		}
+	}
+	c.names = slices.DeleteFunc(c.names, func(name string) bool {
+		t := c.targets[name]
+		switch {
+		case t.listed:
+			t.goneAt = time.Time{}
+		case t.goneAt.IsZero():
+			t.goneAt = now
+			drop = append(drop, c.empty(t)...)
+		case now.Sub(t.goneAt) > targetRests:
+			drop = append(drop, c.empty(t)...)
+			delete(c.targets, name)
+			return true
+		}
+		return false
+	})
+	c.mu.Unlock()
+	closeAll(drop)
+}
+
+func closeAll(conns []*conn) {
+	for _, one := range conns {
+		one.Close() //nolint:errcheck // idle
+	}
+}
+
+// empty takes all idle connections of a target; it is called with the lock.
+func (c *Client) empty(t *target) []*conn {
+	all := t.idle
+	t.idle = nil
+	c.idle -= len(all)
+	return all
+}
+
+// dropIdle closes the idle connection that was used longest ago, so that another can be made.
+func (c *Client) dropIdle() {
+	c.mu.Lock()
+	var oldest *target
+	for _, name := range c.names {
+		if t := c.targets[name]; len(t.idle) > 0 && (oldest == nil || t.idle[0].since.Before(oldest.idle[0].since)) {
+			oldest = t
+		}
+	}
+	var one *conn
+	if oldest != nil {
+		one = oldest.idle[0]
+		oldest.idle = slices.Delete(oldest.idle, 0, 1)
+		c.idle--
+	}
+	c.mu.Unlock()
+	if one != nil {
+		one.Close() //nolint:errcheck // idle
+	}
+}
+
+// Tidy closes connections that were idle too long; it is called now and then.
+func (c *Client) Tidy() {
+	var drop []*conn
+	now := time.Now()
+	c.mu.Lock()
+	for _, t := range c.targets {
+		n := 0
+		for n < len(t.idle) && now.Sub(t.idle[n].since) > c.o.IdleConn/idlePart {
+			n++
+		}
+		drop = append(drop, t.idle[:n]...)
+		t.idle = slices.Delete(t.idle, 0, n)
+		c.idle -= n
+	}
+	c.mu.Unlock()
+	closeAll(drop)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	var drop []*conn
+	for _, t := range c.targets {
+		drop = append(drop, c.empty(t)...)
+	}
+	c.mu.Unlock()
+	closeAll(drop)
+	c.dialer.Close()
+}
+
+// Idle is how many connections are kept.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle
+}
+
+var errUnknown = errors.New("an engine that is not on the list")
+
+// get takes a kept connection that still stands, or makes one.
+func (c *Client) get(ctx context.Context, name string) (*conn, error) {
+	c.mu.Lock()
+	t := c.targets[name]
+	if t == nil {
+		c.mu.Unlock()
+		return nil, fmt.Errorf("%s: %w", name, errUnknown)
+	}
+	address := t.address
+	c.mu.Unlock()
+	for {
+		var one *conn
+		c.mu.Lock()
+		if n := len(t.idle); n > 0 {
+			one = t.idle[n-1]
+			t.idle = t.idle[:n-1]
+			c.idle--
+		}
+		c.mu.Unlock()
+		if one == nil {
+			break
+		}
+		if time.Since(one.since) < c.o.IdleConn/idlePart && quiet(one.Conn) {
+			return one, nil
+		}
+		one.Close() //nolint:errcheck // of no use
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.o.ConnectTimeout)
+	defer cancel()
+	plain, err := c.dialer.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: plain, r: bufio.NewReaderSize(plain, bufferSize), t: t}, nil
+}
+
+// quiet tells whether nothing came on a kept connection, its end included.
+func quiet(one net.Conn) bool {
+	if u, wraps := one.(interface{ Unwrap() net.Conn }); wraps {
+		one = u.Unwrap()
+	}
+	s, has := one.(syscall.Conn)
+	if !has {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	still := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		still = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && still
+}
+
+// put keeps a connection, if nothing more has come on it.
+func (c *Client) put(one *conn) {
+	if one.r.Buffered() > 0 || one.SetDeadline(time.Time{}) != nil {
+		one.Close() //nolint:errcheck // of no use
+		return
+	}
+	one.since = time.Now()
+	c.mu.Lock()
+	keep := one.t.listed && len(one.t.idle) < keptMost
+	if keep {
+		one.t.idle = append(one.t.idle, one)
+		c.idle++
+	}
+	c.mu.Unlock()
+	if !keep {
+		one.Close() //nolint:errcheck // of no use
+	}
+}
+
+// forget drops what is kept to an engine that was silent or broke a connection: the others may be as dead, and a new
+// one tells at once. It harms an engine whose one connection broke alone, by a few handshakes.
+func (c *Client) forget(name string) {
+	c.mu.Lock()
+	var drop []*conn
+	if t := c.targets[name]; t != nil {
+		drop = c.empty(t)
+	}
+	c.mu.Unlock()
+	closeAll(drop)
+}
+
+// answer is a call whose answer's head has come.
+type answer struct {
+	c    *Client
+	conn *conn
+	head *http1.Head
+	stop func() bool // of the context's watch
+}
+
+// done ends the call: its connection is kept or closed.
+func (a *answer) done(keep bool) {
+	if a.stop() && keep && !a.head.Close {
+		a.c.put(a.conn)
+		return
+	}
+	a.conn.Close() //nolint:errcheck // done with it
+}
+
+// do makes a call. sent tells whether its last byte was written. The context's end closes the connection.
+func (c *Client) do(ctx context.Context, name string, message [][]byte, wrote func()) (a *answer, sent bool, err error) {
+	one, err := c.get(ctx, name)
+	if err != nil {
+		return nil, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { one.Close() }) //nolint:errcheck // ends reads and writes
+	fail := func(err error) (*answer, bool, error) {
+		stop()
+		one.Close() //nolint:errcheck // of no use
+		return nil, sent, err
+	}
+	size := 0
+	for _, part := range message {
+		size += len(part)
+	}
+	buffers := net.Buffers(message)
+	n, err := buffers.WriteTo(one.Conn)
+	if err != nil || int(n) < size {
+		return fail(fmt.Errorf("write: %w", err))
+	}
+	sent = true
+	if wrote != nil {
+		wrote()
+	}
+	head, err := readHead(one)
+	if err != nil {
+		return fail(broken(err))
+	}
+	return &answer{c, one, head, stop}, true, nil
+}
+
+// aheadMost bounds the 1xx answers ahead of an answer.
+const aheadMost = 16
+
+// readHead reads an answer's head, which comes at once as soon as it begins, and drops what comes ahead of it.
+func readHead(one *conn) (*http1.Head, error) {
+	for range aheadMost {
+		if _, err := one.r.Peek(1); err != nil {
+			return nil, err
+		}
+		one.SetReadDeadline(time.Now().Add(chunkMost)) //nolint:errcheck // a connection that is closed fails in reading
+		head, err := http1.ReadResponse(one.r, limits)
+		one.SetReadDeadline(time.Time{}) //nolint:errcheck // as above
+		if err != nil || head.Status >= 200 {
+			return head, err
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d answers of 1xx", http1.ErrMalformed, aheadMost)
+}
+
+// broken has what http1 found as the engine client's errors.
+func broken(err error) error {
+	if errors.Is(err, http1.ErrMalformed) || errors.Is(err, http1.ErrTooLarge) {
+		return fmt.Errorf("%w: %w", engine.ErrMalformed, err)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("%w: %w", engine.ErrTruncated, err)
+	}
+	return err
+}
+
+// message is a call's bytes.
+func message(call *engine.Call, wait time.Duration) [][]byte {
+	h := make([]byte, 0, 256)
+	h = append(append(append(h, "POST "...), call.Target...), " HTTP/1.1\r\nHost: engine\r\nContent-Type: application/json\r\nX-Request-Id: "...)
+	h = append(append(h, call.ID...), "\r\nX-Deadline: "...)
+	h = append(strconv.AppendInt(h, max(1, wait.Milliseconds()), 10), "m\r\nContent-Length: "...)
+	h = append(strconv.AppendInt(h, int64(len(call.Body)), 10), "\r\n\r\n"...)
+	return [][]byte{h, call.Body}
+}
+
+// post sends a dispatch and gives a head of the status that is wanted, or what the dispatch came to.
+func (c *Client) post(ctx context.Context, call *engine.Call, wait time.Duration, wanted int) (*answer, *engine.Result) {
+	a, sent, err := c.do(ctx, call.Address, message(call, wait), call.Wrote)
+	if err != nil {
+		r := &engine.Result{Outcome: engine.OutcomeOf(ctx, err, sent), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+		if errors.Is(err, errUnknown) {
+			r.Outcome = decide.Moot
+		}
+		if r.Outcome != decide.Cancelled && r.Outcome != decide.Moot && r.Outcome != decide.Errored {
+			c.forget(call.Address)
+		}
+		return nil, r
+	}
+	if a.head.Status == wanted {
+		return a, nil
+	}
+	status := a.head.Status
+	notRun, _ := a.head.Get("x-not-run")
+	r := &engine.Result{Outcome: decide.Errored, Status: status, Report: c.inHead(a.head),
+		Err: fmt.Errorf("dispatch to %s: status %d", call.Address, status)}
+	switch {
+	case status == 410 && notRun == "1":
+		r.Outcome, r.Found = decide.Full, 1
+	case (status == 503 || status == 504) && notRun == "1":
+		r.Outcome = decide.Full
+	}
+	a.drop()
+	return nil, r
+}
+
+// drop reads a body that tells nothing, so that the connection can be kept.
+func (a *answer) drop() {
+	a.conn.SetDeadline(time.Now().Add(restMost)) //nolint:errcheck // it is closed if this fails
+	_, err := http1.ReadBody(a.conn.r, a.head, limits, nil)
+	a.done(err == nil && !a.head.NoLength)
+}
+
+func (c *Client) inHead(h *http1.Head) []float64 {
+	if text, times := h.Get("x-load"); times > 0 {
+		return c.report([]byte(text))
+	}
+	return nil
+}
+
+// Read has a reader read the prompt and hold its state.
+func (c *Client) Read(ctx context.Context, call *engine.Call) *engine.Result {
+	a, bad := c.post(ctx, call, call.Timeout, 202)
+	if bad != nil {
+		return bad
+	}
+	body, err := http1.ReadBody(a.conn.r, a.head, limits, nil)
+	found := gjson.GetBytes(body, "cached_tokens")
+	if err == nil && (!gjson.ValidBytes(body) || found.Type != gjson.Number) {
+		err = fmt.Errorf("%w: a read's answer without cached_tokens", http1.ErrMalformed)
+	}
+	a.done(err == nil && !a.head.NoLength)
+	if err != nil {
+		err = broken(err)
+		return &engine.Result{Outcome: engine.OutcomeOf(ctx, err, true), Status: 202, Err: fmt.Errorf("read at %s: %w", call.Address, err)}
+	}
+	return &engine.Result{Outcome: decide.Read, Status: 202, Found: found.Float(), Report: c.inHead(a.head)}
+}
+
+// small makes a call without a body and gives its status and body.
+func (c *Client) small(ctx context.Context, name, method, target string) (int, []byte, *http1.Head, error) {
+	text := method + " " + target + " HTTP/1.1\r\nHost: engine\r\nContent-Length: 0\r\n\r\n"
+	a, _, err := c.do(ctx, name, [][]byte{[]byte(text)}, nil)
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("%s %s at %s: %w", method, target, name, err)
+	}
+	body, err := http1.ReadBody(a.conn.r, a.head, limits, nil)
+	a.done(err == nil && !a.head.NoLength)
+	if err != nil {
+		return 0, nil, nil, fmt.Errorf("%s %s at %s: %w", method, target, name, err)
+	}
+	return a.head.Status, body, a.head, nil
+}
+
+const rooms = "/bootstrap/rooms/"
+
+// Hold asks a writer for a place for the completion. An error: it is not known whether it is held.
+func (c *Client) Hold(ctx context.Context, name, id string, _ float64, _ time.Duration) (bool, error) {
+	status, _, _, err := c.small(ctx, name, "POST", rooms+id)
+	switch {
+	case err != nil:
+		return false, err
+	case status == 200:
+		return true, nil
+	case status == 409:
+		return false, nil
+	}
+	return false, fmt.Errorf("place at %s: status %d", name, status)
+}
+
+// Release lets go of all that any engine holds for the completion. Any engine takes it: where one does not answer
+// soon, the next is asked.
+func (c *Client) Release(ctx context.Context, name, id string) error {
+	var err error
+	for at, one := range c.others(name) {
+		wait := releaseTry
+		if at == 0 {
+			wait = 2 * releaseTry
+		}
+		try, cancel := context.WithTimeout(ctx, wait)
+		var status int
+		status, _, _, err = c.small(try, one, "DELETE", rooms+id)
+		cancel()
+		if err == nil && status == 204 {
+			return nil
+		}
+		if err == nil {
+			err = fmt.Errorf("release at %s: status %d", one, status)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return err
+}
+
+// A release is tried at so many engines, so long at each.
+const (
+	releaseAt  = 4
+	releaseTry = 40 * time.Millisecond
+)
+
+// others is an engine and some more, first those with a connection that is kept.
+func (c *Client) others(name string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := []string{name}
+	for _, kept := range [...]bool{true, false} {
+		for _, other := range c.names {
+			t := c.targets[other]
+			if other != name && t.listed && (len(t.idle) > 0) == kept && len(all) < releaseAt {
+				all = append(all, other)
+			}
+		}
+	}
+	return all
+}
+
+// Probe asks an engine for its load.
+func (c *Client) Probe(ctx context.Context, name string) ([]float64, error) {
+	if !c.o.Probes {
+		return nil, engine.ErrNotAsked
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	status, body, head, err := c.small(ctx, name, "GET", "/metrics/load")
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 {
+		return nil, fmt.Errorf("probe of %s: status %d", name, status)
+	}
+	report := c.report(bytes.TrimSpace(body))
+	if report == nil {
+		report = c.inHead(head)
+	}
+	return report, nil
+}
+
+var _ edge.Engines = (*Client)(nil)
--- /dev/null
+++ b/internal/platform/discovery/discovery.go
@@ -0,0 +1,185 @@
+// Package discovery follows the platform's list of engines: the whole list first, then a watch of its changes, at an
+// address that may be replaced while it runs. A call that stays silent, an answer that is cut off or can't be read
+// leaves the list in force, and it is asked again. internal/platform/service makes it and hands on what it tells; it
+// decides nothing.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"cherryhub/decide"
+)
+
+// Host is one engine as discovery tells it.
+type Host struct {
+	Name    string  `json:"host"`
+	Address string  `json:"dial"`
+	Zone    string  `json:"site"`
+	Machine string  `json:"class"`
+	Cell    int     `json:"block"`
+	Health  string  `json:"health"`
+	Share   float64 `json:"share"`
+	Born    int64   `json:"born_ms"` // Unix time, 0 for long ago
+}
+
+// List is one answer.
+type List struct {
+	Version int64  `json:"seq"`
+	Whole   bool   `json:"whole"`
+	Hosts   []Host `json:"hosts"`
+}
+
+// phases are the words for an engine's phase.
+var phases = map[string]decide.Phase{"Ready": decide.Ready, "Terminating": decide.Draining, "Gone": decide.Gone}
+
+// Phase is an entry's, and whether its word is known.
+func (h *Host) Phase() (decide.Phase, bool) {
+	p, known := phases[h.Health]
+	return p, known
+}
+
+// Read reads an answer strictly. Entries that can't be used are left out with a word; the others hold.
+func Read(text []byte, log *slog.Logger) (*List, error) {
+	l := &List{Version: -1}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if l.Version < 0 || l.Hosts == nil {
+		return nil, fmt.Errorf("list: no seq or no hosts")
+	}
+	good := l.Hosts[:0]
+	for _, h := range l.Hosts {
+		p, known := h.Phase()
+		if h.Name == "" || !known || p != decide.Gone && h.Address == "" {
+			log.Warn("entry of the list left out", "host", h.Name, "health", h.Health, "dial", h.Address)
+			continue
+		}
+		good = append(good, h)
+	}
+	l.Hosts = good
+	return l, nil
+}
+
+// Times of a watch. It is held so briefly because what discovery would have told counts as told two seconds after the
+// hold is over, whether it arrived or not; a call that is silent for longer is made again on a new connection.
+const (
+	hold      = 2 * time.Second
+	holdLate  = 700 * time.Millisecond
+	wholeMost = 1 * time.Second
+	again     = 50 * time.Millisecond // after a failure
+	againMost = 500 * time.Millisecond
+	listMost  = 256 << 10
+)
+
+// Follower follows the list.
+type Follower struct {
+	tell      func(*List)
+	log       *slog.Logger
+	http      *http.Client
+	transport *http.Transport
+
+	mu      sync.Mutex
+	address string
+	cancel  context.CancelFunc // of the call that runs
+}
+
+// New makes a follower; tell is called with each answer.
+func New(address string, tell func(*List), log *slog.Logger) *Follower {
+	t := &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, ResponseHeaderTimeout: hold + holdLate, MaxResponseHeaderBytes: 8 << 10,
+		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10, Proxy: nil}
+	return &Follower{address: address, tell: tell, log: log, transport: t, http: &http.Client{Transport: t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
+}
+
+// Move has the list come from another address from now on.
+func (f *Follower) Move(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.address == address {
+		return
+	}
+	f.address = address
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var at string
+	version, wait := int64(-1), again
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		if f.address != at { // the new one may count in its own way
+			at, version = f.address, -1
+			f.transport.CloseIdleConnections()
+		}
+		most := wholeMost
+		if version >= 0 {
+			most = hold + holdLate
+		}
+		call, cancel := context.WithTimeout(ctx, most)
+		f.cancel = cancel
+		f.mu.Unlock()
+		l, err := f.ask(call, at, version)
+		cancel()
+		f.mu.Lock()
+		moved := f.address != at
+		f.mu.Unlock()
+		switch {
+		case moved || ctx.Err() != nil:
+		case err != nil:
+			f.log.Warn("discovery", "address", at, "err", err)
+			f.transport.CloseIdleConnections()
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+			wait = min(2*wait, againMost)
+		default:
+			wait = again
+			if version < 0 && !l.Whole { // an answer to another question
+				f.log.Warn("discovery: changes where the whole list was asked for", "seq", l.Version)
+				time.Sleep(again)
+				continue
+			}
+			version = l.Version
+			if l.Whole || len(l.Hosts) > 0 {
+				f.tell(l)
+			}
+		}
+	}
+}
+
+func (f *Follower) ask(ctx context.Context, address string, version int64) (*List, error) {
+	u := url.URL{Scheme: "http", Host: address, Path: "/discovery/hosts"}
+	if version >= 0 {
+		u.RawQuery = "from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, listMost+1))
+	if err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK || len(text) > listMost {
+		return nil, fmt.Errorf("list: status %d, %d bytes", resp.StatusCode, len(text))
+	}
+	return Read(text, f.log)
+}
--- /dev/null
+++ b/internal/platform/front/front.go
@@ -0,0 +1,468 @@
+// Package front is the platform's clients' HTTP: it owns the listener and the clients' connections, reads calls
+// strictly, has the edge take them and writes what becomes of them. Nothing of a call that was not wholly read and
+// checked goes further. It decides who keeps a connection (room.go, ids.go) and nothing of routing.
+// internal/platform/service makes it.
+package front
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cherryhub/internal/edge"
+	"cherryhub/internal/platform/http1"
+)
+
+// Options of a server.
+type Options struct {
+	Listener   net.Listener
+	Edge       *edge.Edge
+	Workloads  []string // names, in decide's order
+	Tenants    []string // as above; none: no tenant is asked for
+	MaxConns   int
+	MaxBodies  int64         // bytes of all bodies in memory
+	ComeBack   time.Duration // the advice to one who was not taken, 0 for none
+	Margin     time.Duration // of a client timeout, kept for the way of the final answer
+	StreamMost time.Duration
+	Log        *slog.Logger
+}
+
+// The bounds of a client's call, and of its connection.
+const (
+	headMost   = 8 << 10
+	fieldsMost = 48
+	bodyMost   = 256 << 10
+	bufferSize = 2 << 10
+
+	callMost  = 2500 * time.Millisecond // from a call's first byte to its last; from connecting for the first call
+	idleMost  = 10 * time.Second        // between two calls
+	writeMost = 5 * time.Second         // a client that doesn't read so long has left
+	lingerFor = 100 * time.Millisecond  // a refused call is read on so long, so that its answer isn't lost to a reset
+	lingerMax = 256 << 10               // and so much of it
+	flushMost = 16 << 10                // of events that came together
+)
+
+var limits = http1.Limits{Head: headMost, Fields: fieldsMost, Body: bodyMost}
+
+// Server serves clients.
+type Server struct {
+	o       Options
+	works   map[string]int
+	tenants map[string]int
+	ready   atomic.Bool
+	leaving atomic.Bool // connections are closed after their call
+	closing atomic.Bool // nothing is taken
+	bodies  atomic.Int64
+	active  atomic.Int64 // calls whose first byte came and that are not answered
+
+	mu    sync.Mutex
+	next  uint64
+	room  *room
+	conns map[uint64]net.Conn
+	ids   *ids
+	buf   sync.Pool
+}
+
+// New makes a server.
+func New(o Options) *Server {
+	s := &Server{o: o, works: map[string]int{}, tenants: map[string]int{}, room: newRoom(o.MaxConns),
+		conns: map[uint64]net.Conn{}, ids: newIDs()}
+	for i, name := range o.Workloads {
+		s.works[name] = i
+	}
+	for i, name := range o.Tenants {
+		s.tenants[name] = i
+	}
+	s.buf.New = func() any { return bufio.NewReaderSize(nil, bufferSize) }
+	return s
+}
+
+// Ready has GET /up answer 200.
+func (s *Server) Ready() { s.ready.Store(true) }
+
+// Active is how many calls have begun to come and are not answered.
+func (s *Server) Active() int { return int(s.active.Load()) }
+
+// Leave has each connection closed after its call, those without one at once.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, more := s.room.oldestIdle(); more; id, more = s.room.oldestIdle() {
+		s.evict(id)
+	}
+}
+
+// Refuse has every call that comes from now on answered with 503.
+func (s *Server) Refuse() { s.closing.Store(true) }
+
+// evict closes a connection; it is called with the lock, and the room has let it go.
+func (s *Server) evict(id uint64) {
+	if conn := s.conns[id]; conn != nil {
+		conn.Close() //nolint:errcheck // idle
+	}
+}
+
+// Serve accepts clients until the listener is closed.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.o.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// Out of descriptors, or the client was gone at once: the next may do.
+			s.o.Log.Warn("accept", "err", err)
+			time.Sleep(2 * time.Millisecond)
+			continue
+		}
+		s.mu.Lock()
+		s.next++
+		id := s.next
+		evict, evicts, ok := s.room.enter(id)
+		if evicts {
+			s.evict(evict)
+		}
+		if ok {
+			s.conns[id] = conn
+		}
+		s.mu.Unlock()
+		if !ok { // every place has a call that runs
+			conn.SetWriteDeadline(time.Now().Add(time.Millisecond))                            //nolint:errcheck // it is closed next
+			conn.Write((&refusal{503, "all connections are in use", s.after(), true}).bytes()) //nolint:errcheck // as above
+			conn.Close()                                                                       //nolint:errcheck // nobody is served on it
+			continue
+		}
+		go s.serve(id, conn)
+	}
+}
+
+func (s *Server) after() float64 { return s.o.ComeBack.Seconds() }
+
+// client is one connection.
+type client struct {
+	s    *Server
+	id   uint64
+	conn net.Conn
+	r    *bufio.Reader
+	out  []byte
+	last bool // no call follows
+}
+
+func (s *Server) serve(id uint64, conn net.Conn) {
+	r := s.buf.Get().(*bufio.Reader) //nolint:forcetypeassert // of New
+	r.Reset(conn)
+	c := &client{s: s, id: id, conn: conn, r: r}
+	defer func() {
+		conn.Close() //nolint:errcheck // done with it
+		r.Reset(nil)
+		s.buf.Put(r)
+		s.mu.Lock()
+		delete(s.conns, id)
+		s.room.leave(id)
+		s.mu.Unlock()
+	}()
+	connected := time.Now()
+	for first := true; !c.last; first = false {
+		wait := idleMost
+		if first {
+			wait = callMost
+		}
+		conn.SetReadDeadline(time.Now().Add(wait)) //nolint:errcheck // a connection that is closed fails in reading
+		if _, err := r.Peek(1); err != nil {
+			return
+		}
+		arrived := time.Now()
+		until := arrived.Add(callMost)
+		if first {
+			until = connected.Add(callMost)
+		}
+		conn.SetReadDeadline(until) //nolint:errcheck // as above
+		s.mu.Lock()
+		in := s.room.call(id)
+		s.mu.Unlock()
+		if !in {
+			return
+		}
+		s.active.Add(1)
+		c.call(arrived)
+		s.active.Add(-1)
+		if len(c.out) > 4*flushMost {
+			c.out = nil
+		}
+		s.mu.Lock()
+		s.room.over(id)
+		s.mu.Unlock()
+		if s.leaving.Load() {
+			return
+		}
+	}
+}
+
+// call reads one call and answers it.
+func (c *client) call(arrived time.Time) {
+	h, err := http1.ReadRequest(c.r, limits)
+	if err != nil {
+		c.unread(err)
+		return
+	}
+	if h.Close {
+		c.last = true
+	}
+	path := h.Target
+	for i := range len(path) {
+		if path[i] == '?' {
+			path = path[:i]
+			break
+		}
+	}
+	switch {
+	case path == "/up" && h.Method == http.MethodGet && h.Length == 0:
+		if c.s.ready.Load() && !c.s.closing.Load() {
+			c.write(append(c.out[:0], "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 3\r\n\r\nok\n"...)) //nolint:errcheck // the connection ends if it fails
+			return
+		}
+		c.refuse(&refusal{503, "not ready", 0, false})
+	case path != chatPath:
+		c.refuse(&refusal{404, "unknown call", 0, h.Length != 0})
+	case h.Method != http.MethodPost:
+		c.refuse(&refusal{405, "wanted POST", 0, h.Length != 0})
+	default:
+		c.chat(h, arrived)
+	}
+}
+
+// unread answers a message that could not be read to its end.
+func (c *client) unread(err error) {
+	if errors.Is(err, http1.ErrMalformed) || errors.Is(err, http1.ErrTooLarge) {
+		c.refuse(unreadable(err))
+		return
+	}
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		c.refuse(&refusal{408, "the call did not come whole in time", 0, true})
+		return
+	}
+	c.last = true // it left, or broke off
+}
+
+var errNoRoom = errors.New("no memory for the body")
+
+func (c *client) chat(h *http1.Head, arrived time.Time) {
+	s := c.s
+	w, fault := s.parse(h)
+	if fault == nil && h.NoLength {
+		fault = bad(411, "a length is wanted")
+	}
+	if fault != nil {
+		fault.last = fault.last || h.Length != 0 // its body is not read
+		c.refuse(fault)
+		return
+	}
+	if v, times := h.Get("expect"); times > 0 {
+		if v != "100-continue" {
+			c.refuse(&refusal{417, "unknown expectation", 0, true})
+			return
+		}
+		if c.write(append(c.out[:0], "HTTP/1.1 100 Continue\r\n\r\n"...)) != nil {
+			return
+		}
+	}
+	held := int64(0)
+	giveBack := func() { s.bodies.Add(-held) }
+	body, err := http1.ReadBody(c.r, h, limits, func(n int) error {
+		if s.bodies.Add(int64(n)) > s.o.MaxBodies {
+			s.bodies.Add(-int64(n))
+			return errNoRoom
+		}
+		held += int64(n)
+		return nil
+	})
+	if err != nil {
+		giveBack()
+		if errors.Is(err, errNoRoom) {
+			c.refuse(&refusal{503, err.Error(), s.after(), true})
+			return
+		}
+		c.unread(err)
+		return
+	}
+	if fault = w.read(body); fault == nil && s.closing.Load() {
+		fault = &refusal{503, "this router is stopping", s.after(), true}
+	}
+	if fault == nil {
+		s.mu.Lock()
+		fresh := s.ids.begin(w.id)
+		s.mu.Unlock()
+		if !fresh {
+			fault = bad(409, "x-request-id: %.80q is another call's", w.id)
+		}
+	}
+	if fault != nil {
+		giveBack()
+		c.refuse(fault)
+		return
+	}
+	over := sync.OnceFunc(func() {
+		giveBack()
+		s.mu.Lock()
+		s.ids.end(time.Now(), w.id)
+		s.mu.Unlock()
+	})
+	c.take(&edge.Request{ID: s.o.Edge.NextID(), Name: w.id, Target: h.Target, Prompt: w.prompt, Arrived: arrived, Timeout: w.timeout,
+		Margin: min(s.o.Margin, w.timeout/4), Whole: s.o.StreamMost, Body: func(bool, []byte) []byte { return body }, Over: over})
+}
+
+// take has the edge take a call, and watches meanwhile whether the client leaves.
+func (c *client) take(r *edge.Request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	watched := make(chan struct{})
+	c.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // a connection that is closed fails in reading
+	go func() {
+		defer close(watched)
+		for n := c.r.Buffered() + 1; n <= bufferSize; n = c.r.Buffered() + 1 {
+			if _, err := c.r.Peek(n); err != nil {
+				var timeout net.Error
+				if !errors.As(err, &timeout) || !timeout.Timeout() {
+					cancel()
+				}
+				return
+			}
+		}
+	}()
+	_, taken := c.s.o.Edge.Take(ctx, r, c)
+	c.conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // ends the watch
+	<-watched
+	if ctx.Err() != nil {
+		c.last = true
+	}
+	cancel()
+	if !taken {
+		c.refuse(&refusal{503, "this router has too many calls open", c.s.after(), false})
+	}
+}
+
+// Relay is of edge.Client, as are the methods below: the events go on as they came, and a stream that broke ends
+// the connection without its last chunk.
+func (c *client) Relay(ctx, _ context.Context, stream edge.Stream) edge.Answer {
+	out := append(c.out[:0], "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n"...)
+	if c.s.leaving.Load() || c.last {
+		out = append(out, "Connection: close\r\n"...)
+		c.last = true
+	}
+	out = append(out, "\r\n"...)
+	events := []byte{}
+	for {
+		event, err := stream.Next()
+		switch {
+		case err == nil:
+			events = append(events, event.Raw...)
+			if stream.More() && len(events) < flushMost {
+				continue
+			}
+			out = strconv.AppendInt(out, int64(len(events)), 16)
+			out = append(append(append(out, "\r\n"...), events...), "\r\n"...)
+			events = events[:0]
+		case errors.Is(err, io.EOF):
+			out = append(out, "0\r\n\r\n"...)
+		case ctx.Err() != nil:
+			c.last = true
+			return edge.Gone
+		default:
+			c.s.o.Log.Info("answer broke", "err", err)
+			c.last = true
+			return edge.Aborted
+		}
+		if c.write(out) != nil {
+			return edge.Gone
+		}
+		if err != nil {
+			return edge.Finished
+		}
+		out = c.out[:0]
+	}
+}
+
+// RateLimit is of edge.Client.
+func (c *client) RateLimit(comeBack float64) {
+	c.refuse(&refusal{429, "rate-limited: trying again is harmless", comeBack, false})
+}
+
+// Abort is of edge.Client.
+func (c *client) Abort(late bool) {
+	if late {
+		c.refuse(&refusal{504, "aborted: the client timeout is spent", 0, false})
+		return
+	}
+	c.refuse(&refusal{500, "aborted: it is not known what was done", 0, false})
+}
+
+// Fault is of edge.Client.
+func (c *client) Fault(status int, body []byte) {
+	c.refuse(&refusal{status, string(body), 0, false})
+}
+
+func (c *client) write(b []byte) error {
+	c.out = b
+	c.conn.SetWriteDeadline(time.Now().Add(writeMost)) //nolint:errcheck // a connection that is closed fails in writing
+	_, err := c.conn.Write(b)
+	if err != nil {
+		c.last = true
+	}
+	return err
+}
+
+// refuse answers with an error. Where the connection ends with it, what still comes is read for a moment: closed with
+// bytes unread the answer would be lost to a reset.
+func (c *client) refuse(r *refusal) {
+	if r.last || c.s.leaving.Load() {
+		c.last = true
+	}
+	r.last = c.last
+	if c.write(r.bytes()) != nil || !c.last {
+		return
+	}
+	if half, can := c.conn.(interface{ CloseWrite() error }); can {
+		half.CloseWrite() //nolint:errcheck // it is closed next
+	}
+	c.conn.SetReadDeadline(time.Now().Add(lingerFor))             //nolint:errcheck // as above
+	io.Copy(io.Discard, io.LimitReader(drain{c.conn}, lingerMax)) //nolint:errcheck // as above
+}
+
+// drain hides a connection's own ways of copying.
+type drain struct{ io.Reader }
+
+func (r *refusal) bytes() []byte {
+	body, err := json.Marshal(map[string]any{"error": map[string]string{"message": r.message}})
+	if err != nil { // a string always is
+		body = []byte("{}")
+	}
+	b := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n", r.status, http.StatusText(r.status), len(body))
+	if r.after > 0 {
+		b = fmt.Appendf(b, "Retry-After: %.3f\r\n", r.after)
+	}
+	if r.last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	return append(append(b, "\r\n"...), body...)
+}
+
+// Linger has answers say that their connection closes, so that clients go elsewhere.
+func (s *Server) Linger() { s.leaving.Store(true) }
+
+// Conns is how many connections are open.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
--- /dev/null
+++ b/internal/platform/service/config.go
@@ -0,0 +1,117 @@
+package service
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"cherryhub/internal/settings"
+)
+
+// Config is what a router is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Memory                  int64 // bytes
+	Sockets                 int
+	Known                   json.RawMessage // a list as discovery tells it, nil for none
+	Settings                settings.Settings
+}
+
+// BadConfig is a configuration that can't be used; it names the field.
+type BadConfig struct{ error }
+
+func (b BadConfig) Unwrap() error { return b.error }
+
+func badConfig(format string, a ...any) error { return BadConfig{fmt.Errorf(format, a...)} }
+
+// The least that a router needs.
+const (
+	memoryLeast  = 24
+	memoryMost   = 1 << 20
+	socketsLeast = 64
+	socketsMost  = 1 << 20
+)
+
+// Load reads the file that EDGE_CONFIG names. The other variables prevail over the file, as they are this process's own.
+func Load(getenv func(string) string) (*Config, error) {
+	file := getenv("EDGE_CONFIG")
+	if file == "" {
+		return nil, badConfig("EDGE_CONFIG: not set")
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, badConfig("EDGE_CONFIG: %w", err)
+	}
+	c, err := Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	for name, to := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	if v := getenv("EDGE_DISCOVERY"); v != "" && c.Discovery == "" {
+		c.Discovery = v
+	}
+	return c, c.check()
+}
+
+// Parse reads a configuration.
+func Parse(text []byte) (*Config, error) {
+	var raw struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Memory  int64 `json:"memory_mb"`
+			Sockets int   `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return nil, badConfig("config: %s: a %s where a %s is wanted, at byte %d", kind.Field, kind.Value, kind.Type, kind.Offset)
+		}
+		return nil, badConfig("config: %w", err)
+	}
+	seed, err := strconv.ParseUint(raw.Seed, 16, 64)
+	if err != nil {
+		return nil, badConfig("config: seed: %q: wanted 16 hexadecimal digits", raw.Seed)
+	}
+	if m := raw.Limits.Memory; m < memoryLeast || m > memoryMost {
+		return nil, badConfig("config: limits.memory_mb: %d: wanted from %d to %d", m, memoryLeast, memoryMost)
+	}
+	if n := raw.Limits.Sockets; n < socketsLeast || n > socketsMost {
+		return nil, badConfig("config: limits.sockets: %d: wanted from %d to %d", n, socketsLeast, socketsMost)
+	}
+	if len(raw.Settings) == 0 {
+		return nil, badConfig("config: settings: missing")
+	}
+	all, err := settings.Parse(raw.Settings)
+	if err == nil {
+		err = all.Serves()
+	}
+	if err != nil {
+		return nil, badConfig("config: %w", err)
+	}
+	all.Decide.Seed = seed
+	return &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Seed: seed, Memory: raw.Limits.Memory << 20,
+		Sockets: raw.Limits.Sockets, Known: raw.Known, Settings: all}, nil
+}
+
+func (c *Config) check() error {
+	for name, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return badConfig("config: %s: %q: wanted HOST:PORT", name, address)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/service/figures.go
@@ -0,0 +1,57 @@
+package service
+
+import (
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+)
+
+// figuresEvery is how many rounds of tidy pass between two lines of figures.
+const figuresEvery = 10
+
+// figures counts what the edge does, for the log.
+type figures struct {
+	took     atomic.Int64
+	answers  [4]atomic.Int64 // by edge.Answer
+	outcomes [2][9]atomic.Int64
+	releases atomic.Int64
+}
+
+// Took is of edge.Observer, as are the methods below.
+func (f *figures) Took(int) { f.took.Add(1) }
+
+func (f *figures) Answered(_ int, how edge.Answer, _ time.Duration) { f.answers[how].Add(1) }
+
+func (f *figures) FirstToken(int, time.Duration) {}
+
+func (f *figures) Dispatched(reads bool, o decide.Outcome, _ time.Duration) {
+	stage := 1
+	if reads {
+		stage = 0
+	}
+	f.outcomes[stage][o].Add(1)
+}
+
+func (f *figures) Refused(int) {}
+
+func (f *figures) Released(string) { f.releases.Add(1) }
+
+func (f *figures) log(r *Router) {
+	counts := func(all []atomic.Int64) (list []int64) {
+		for i := range all {
+			list = append(list, all[i].Load())
+		}
+		return list
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	p := r.planner.Figures()
+	_, runs := r.edge.Active()
+	r.log.Info("figures", "took", f.took.Load(), "finished_limited_aborted_left", counts(f.answers[:]),
+		"reads", counts(f.outcomes[0][:]), "writes", counts(f.outcomes[1][:]), "releases", f.releases.Load(),
+		"open", p.Open, "runs", runs, "idle", r.backend.Idle(), "conns", r.front.Conns(), "goroutines", runtime.NumGoroutine(),
+		"heap_kb", m.HeapAlloc>>10, "sys_kb", m.Sys>>10, "faults", p.Faults)
+}
--- /dev/null
+++ b/internal/platform/service/helper_test.go
@@ -0,0 +1,161 @@
+package service
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/internal/loopback"
+	"cherryhub/internal/platform/discovery"
+	"cherryhub/internal/platform/standin"
+)
+
+// text is a configuration of the smallest deployment.
+func text(listen, discovery string) string {
+	return fmt.Sprintf(`{"name":"r1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":64,"sockets":256},"known":{"seq":0,"whole":true,"hosts":[]},
+"settings":{"balancers":1,"my-zone":0,"zones":["here","there"],"kinds":["reads","writes"],"granularity-ns":2000000,
+"family-info":{"holds-allowed":true,"kv-tokens":[200000,200000],"let-go-by-ns":500000000,"stage-of-kind":["read","write"],"writers-read":true},
+"lanes":[{"name":"chat","aim-ns":1500000000,"give-up-ns":7500000000,"worth":1,"effect":"free"},
+{"name":"once","aim-ns":1500000000,"give-up-ns":7500000000,"worth":1,"effect":"single_shot"}],
+"limits":{"cancel":true,"probes":false,"retry-after":true,"max-retry-after-ns":500000000,"send-cap":5,"conn-idle-ns":30000000000,"connect-timeout-ns":250000000},
+"rules":{"cold-from":0.3,"warm-up-ns":1000000000,"tip-multiple":2.5,"fall-ns":2000000000},
+"telemetry":{"columns":["util","queue","x0"]},"tenants":[{"name":"acme","allowance-per-s":1000}]}}`, listen, discovery)
+}
+
+// site is a router before stand-in engines: two readers, two writers.
+type site struct {
+	t       *testing.T
+	w       *standin.World
+	engines map[string]*standin.Engine
+	list    *standin.Discovery
+	c       *Config
+	r       *Router
+}
+
+func host(e *standin.Engine, machine string) discovery.Host {
+	return discovery.Host{Name: e.Name, Address: e.Address(), Zone: "here", Machine: machine, Cell: 1, Health: "Ready", Share: 1}
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, w: standin.NewWorld(), engines: map[string]*standin.Engine{}}
+	var hosts []discovery.Host
+	for _, name := range [...]string{"reader-0", "reader-1", "writer-0", "writer-1"} {
+		reads := strings.HasPrefix(name, "reader")
+		e, err := s.w.Start(name, reads)
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		s.engines[name] = e
+		machine := "writes"
+		if reads {
+			machine = "reads"
+		}
+		hosts = append(hosts, host(e, machine))
+	}
+	var err error
+	s.list, err = standin.StartDiscovery(hosts)
+	require.NoError(t, err)
+	t.Cleanup(func() { s.list.Close() })
+	ln, err := loopback.Listen("127.0.0.1")
+	require.NoError(t, err)
+	listen := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	s.c, err = Parse([]byte(text(listen, s.list.Address())))
+	require.NoError(t, err)
+	s.r, err = Start(s.c, slog.New(slog.NewTextHandler(t.Output(), nil)))
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if s.r != nil {
+			require.NoError(t, s.stop())
+		}
+	})
+	require.Eventually(t, func() bool {
+		status, _, _ := s.send("GET /up HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n")
+		return status == 200
+	}, 5*time.Second, 5*time.Millisecond, "the router never got ready")
+	return s
+}
+
+func (s *site) stop() error {
+	r := s.r
+	s.r = nil
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return r.Stop(ctx)
+}
+
+// prompt is a body of about so many tokens.
+func prompt(tokens int) string {
+	return `{"model":"chat","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"` + strings.Repeat("word", tokens) + `"}]}`
+}
+
+// call is a client's call; fields come beside the usual ones or, of the same name, in their place.
+func call(id, body string, fields ...string) string {
+	all := map[string]string{"X-Request-Id": id, "X-Class": "chat", "X-Tenant": "acme", "X-Key": "k-" + id, "X-Deadline": "4000m",
+		"X-Extras": fmt.Sprintf("prompt_len=%d,max_out=20", len(body)/4)}
+	var order []string
+	for _, name := range [...]string{"X-Request-Id", "X-Class", "X-Tenant", "X-Key", "X-Deadline", "X-Extras"} {
+		order = append(order, name)
+	}
+	for _, f := range fields {
+		name, value, _ := strings.Cut(f, ": ")
+		if _, there := all[name]; !there {
+			order = append(order, name)
+		}
+		all[name] = value
+	}
+	var b strings.Builder
+	b.WriteString("POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\n")
+	for _, name := range order {
+		if all[name] != "" {
+			b.WriteString(name + ": " + all[name] + "\r\n")
+		}
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	return b.String()
+}
+
+// send writes bytes on a connection of its own and reads one answer. Status 0: the connection ended without one; err:
+// it ended in the middle.
+func (s *site) send(bytes string) (status int, body string, err error) {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.c.Listen)
+	if err != nil {
+		return 0, "", err
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a test
+	if _, err := io.WriteString(conn, bytes); err != nil {
+		return 0, "", err
+	}
+	return answerOf(bufio.NewReader(conn))
+}
+
+func answerOf(r *bufio.Reader) (int, string, error) {
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+// quiet waits until nothing is out and nothing held.
+func (s *site) quiet() {
+	s.t.Helper()
+	require.Eventually(s.t, func() bool {
+		_, runs := s.r.edge.Active()
+		return runs == 0 && s.w.Held() == 0 && s.r.planner.Figures().Open == 0
+	}, 5*time.Second, 5*time.Millisecond, "dispatches out, or states held")
+}
--- /dev/null
+++ b/internal/platform/service/lifecycle_test.go
@@ -0,0 +1,176 @@
+package service
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/internal/platform/discovery"
+	"cherryhub/internal/platform/standin"
+)
+
+// TestConfig: what is wrong is named.
+func TestConfig(t *testing.T) {
+	good := text("127.0.0.1:8000", "127.0.0.1:8500")
+	for name, one := range map[string]struct{ old, new, want string }{
+		"good":          {"", "", ""},
+		"no JSON":       {"{", "", "config"},
+		"seed":          {"8c1f30d27a5be964", "seedy", "seed"},
+		"memory":        {`"memory_mb":64`, `"memory_mb":0`, "limits.memory_mb"},
+		"sockets":       {`"sockets":256`, `"sockets":-1`, "limits.sockets"},
+		"sockets' kind": {`"sockets":256`, `"sockets":"many"`, "limits.sockets"},
+		"role":          {`"read","write"`, `"read","paint"`, "stage-of-kind"},
+		"zone":          {`"my-zone":0`, `"my-zone":7`, "my-zone"},
+		"workloads":     {`"lanes"`, `"planes"`, "lanes"},
+		"listen":        {"127.0.0.1:8000", "nowhere", "listen"},
+		"discovery":     {"127.0.0.1:8500", "nowhere", "discovery"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "config.json")
+			require.NoError(t, os.WriteFile(file, []byte(strings.Replace(good, one.old, one.new, 1)), 0o600))
+			_, err := Load(func(name string) string {
+				return map[string]string{"EDGE_CONFIG": file}[name]
+			})
+			if one.want == "" {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, one.want)
+			require.ErrorAs(t, err, &BadConfig{})
+		})
+	}
+	_, err := Load(func(string) string { return "" })
+	require.ErrorContains(t, err, "EDGE_CONFIG")
+}
+
+// TestStopUnderLoad: what still comes for a moment after the signal is answered, what runs ends well, and
+// connections between calls are closed.
+func TestStopUnderLoad(t *testing.T) {
+	s := newSite(t)
+	s.w.Pause = 300 * time.Millisecond
+	kept, err := net.Dial("tcp", s.c.Listen)
+	require.NoError(t, err)
+	defer kept.Close()
+	_, err = io.WriteString(kept, call("before", prompt(20)))
+	require.NoError(t, err)
+	r := bufio.NewReader(kept)
+	status, _, err := answerOf(r)
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+
+	var clients sync.WaitGroup
+	faults := make(chan error, 64)
+	ask := func(id string) {
+		clients.Go(func() {
+			if status, _, err := s.send(call(id, prompt(2000))); err != nil || status != 200 {
+				faults <- fmt.Errorf("%s: status %d, %w", id, status, errors.Join(err))
+			}
+		})
+	}
+	for n := range 8 {
+		ask(fmt.Sprintf("running-%d", n))
+	}
+	require.Eventually(t, func() bool { return s.r.front.Active() == 8 }, 2*time.Second, time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.stop() }()
+	for n := range 8 {
+		time.Sleep(40 * time.Millisecond)
+		ask(fmt.Sprintf("after-%d", n))
+	}
+	clients.Wait()
+	close(faults)
+	for err := range faults {
+		t.Error(err)
+	}
+	require.NoError(t, <-stopped)
+	kept.SetReadDeadline(time.Now().Add(time.Second)) //nolint:errcheck // a test
+	_, err = r.ReadByte()
+	require.True(t, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), "the kept connection stays: %v", err)
+	require.Zero(t, s.w.Held())
+}
+
+// TestReload: the new discovery is followed at once, what runs goes on, and a bad file changes nothing.
+func TestReload(t *testing.T) {
+	s := newSite(t)
+	s.w.Pause = 100 * time.Millisecond
+	next, err := standin.StartDiscovery([]discovery.Host{host(s.engines["reader-1"], "reads"), host(s.engines["writer-1"], "writes")})
+	require.NoError(t, err)
+	defer next.Close()
+	answer := make(chan int, 1)
+	go func() {
+		status, _, _ := s.send(call("running", prompt(2000)))
+		answer <- status
+	}()
+	require.Eventually(t, func() bool { return s.r.front.Active() == 1 }, 2*time.Second, time.Millisecond)
+	c := *s.c
+	c.Discovery = next.Address()
+	s.r.Reload(&c)
+	require.NoError(t, s.list.Close())
+	require.Eventually(t, func() bool { return next.Asked() >= 2 }, time.Second, time.Millisecond)
+	require.Equal(t, 200, <-answer)
+	before := len(s.w.Calls(standin.Write))
+	for n := range 6 {
+		status, _, err := s.send(call(fmt.Sprintf("later-%d", n), prompt(20)))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	for _, w := range s.w.Calls(standin.Write)[before:] {
+		require.Equal(t, "writer-1", w.Engine)
+	}
+}
+
+// TestDrain: an engine that drains gets nothing new, whatever it is kept for.
+func TestDrain(t *testing.T) {
+	s := newSite(t)
+	for n := range 4 {
+		status, _, err := s.send(call(fmt.Sprintf("first-%d", n), prompt(20)))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	h := host(s.engines["writer-0"], "writes")
+	h.Health = "Terminating"
+	s.list.Change(h)
+	time.Sleep(50 * time.Millisecond) // the grace is a second
+	told := time.Now()
+	for n := range 8 {
+		status, _, err := s.send(call(fmt.Sprintf("then-%d", n), prompt(20)))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	for _, w := range s.w.Calls(standin.Write) {
+		require.False(t, w.Engine == "writer-0" && w.At.After(told))
+	}
+}
+
+// TestBadDiscovery: an answer that can't be read, silence and unknown words leave the list in force, and it is asked
+// again.
+func TestBadDiscovery(t *testing.T) {
+	for name, broken := range map[string]string{"cut": `{"seq":9,"whole":true,"hosts":[{"host":"x"`, "noise": "\x00\x01",
+		"no hosts": `{"seq":9,"whole":true}`, "nothing": "", "unknown word": `{"seq":9,"whole":false,"hosts":[{"host":"writer-0","dial":"x:1","health":"Sleepy"}]}`} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			if broken == "" {
+				require.NoError(t, s.list.Close())
+			} else {
+				s.list.Break(broken)
+				s.list.Change(host(s.engines["writer-0"], "writes")) // ends the watch
+				asked := s.list.Asked()
+				require.Eventually(t, func() bool { return s.list.Asked() > asked+1 }, 4*time.Second, 5*time.Millisecond)
+			}
+			status, _, err := s.send(call("served", prompt(2000)))
+			require.NoError(t, err)
+			require.Equal(t, 200, status)
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/service/service.go
@@ -0,0 +1,244 @@
+// Package service puts the platform's router together: clients' HTTP, the edge's completions, the planner, engines'
+// HTTP and discovery, by the configuration that the platform gives; it reloads and stops it by signals. It decides
+// nothing. cmd/cherryhub's run starts it.
+package service
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+	"cherryhub/internal/link"
+	"cherryhub/internal/planner"
+	"cherryhub/internal/platform/backend"
+	"cherryhub/internal/platform/discovery"
+	"cherryhub/internal/platform/front"
+)
+
+// How the limits are divided. Clients hold at most a third of the descriptors for calls; each call needs one towards an
+// engine, and for a moment one more for a place or a release.
+const (
+	ownSockets   = 24  // listener, discovery, poller, standard streams, with room
+	clientPart   = 42  // percent of the others; the rest is for engines
+	memoryPart   = 70  // percent of the limit at which the collector works without pause
+	bodyPart     = 15  // percent of the limit that bodies may hold
+	gcPercent    = 50  // garbage over a small heap
+	enginesMost  = 512 // of which something is remembered
+	margin       = 40 * time.Millisecond
+	streamMost   = 10 * time.Minute
+	knownWait    = 1500 * time.Millisecond // for discovery, where a list is known
+	tidyEvery    = time.Second
+	comeBackMost = 500 * time.Millisecond
+)
+
+// Router is a running router.
+type Router struct {
+	c       *Config
+	log     *slog.Logger
+	front   *front.Server
+	edge    *edge.Edge
+	planner *planner.Planner
+	backend *backend.Client
+	follow  *discovery.Follower
+	ln      net.Listener
+	end     context.CancelFunc
+	parts   sync.WaitGroup
+	fault   chan error
+	listed  atomic.Bool
+	figures *figures
+}
+
+// Tune sets the process's limits from the configuration.
+func Tune(c *Config) {
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(c.Memory * memoryPart / 100)
+	debug.SetGCPercent(gcPercent)
+}
+
+// Start starts a router; it serves until Stop.
+func Start(c *Config, log *slog.Logger) (*Router, error) {
+	s := &c.Settings
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	r := &Router{c: c, log: log, ln: ln, fault: make(chan error, 2), figures: &figures{}}
+	free := c.Sockets - ownSockets
+	clients := free * clientPart / 100
+	engines := free - clients
+	r.backend = backend.New(backend.Options{Columns: s.Decide.Columns, Probes: s.Decide.Probes, ConnectTimeout: s.ConnectTimeout,
+		IdleConn: s.ConnIdle, MaxConns: engines})
+	var works []edge.Workload
+	for i, name := range s.Workloads {
+		works = append(works, edge.Workload{Name: name, Timeout: s.Timeouts[i], Effect: s.Decide.Workloads[i].Effect})
+	}
+	r.edge = edge.New(edge.Options{Workloads: works, Margin: margin, LetGo: s.LetGo, StreamMost: streamMost, Engines: r.backend,
+		OneName: true, Log: log, Observe: r.figures})
+	var machines []planner.Machine
+	for i, name := range s.Machines {
+		machines = append(machines, planner.Machine{Name: name, Role: s.Decide.Roles[i]})
+	}
+	r.planner, err = planner.New(s.Decide, planner.Options{Machines: machines, Zone: s.Zones[s.Decide.Zone], MaxEngines: enginesMost,
+		Mailbox: clients, MaxCompletions: engines, Log: log}, r.edge)
+	if err != nil {
+		ln.Close() //nolint:errcheck // the start's own error is told
+		return nil, err
+	}
+	r.edge.Plan(r.planner)
+	comeBack := min(comeBackMost, time.Duration(s.Decide.MaxComeBack*float64(time.Second)))
+	r.front = front.New(front.Options{Listener: ln, Edge: r.edge, Workloads: s.Workloads, Tenants: s.Tenants, MaxConns: clients,
+		MaxBodies: c.Memory * bodyPart / 100, ComeBack: comeBack, Margin: margin, StreamMost: streamMost, Log: log})
+	r.follow = discovery.New(c.Discovery, r.tell, log)
+	ctx, end := context.WithCancel(context.Background())
+	r.end = end
+	known := r.known(c)
+	r.parts.Go(func() { r.planner.Run(ctx) })
+	r.parts.Go(func() { r.follow.Run(ctx) })
+	r.parts.Go(func() { r.tidy(ctx) })
+	go func() {
+		if err := r.front.Serve(); err != nil {
+			r.fault <- err
+		}
+	}()
+	if known {
+		time.AfterFunc(knownWait, r.front.Ready)
+	}
+	log.Info("router serves", "address", ln.Addr().String(), "client_conns", clients, "engine_conns", engines)
+	return r, nil
+}
+
+// known takes the list that the configuration holds, and tells whether it names an engine.
+func (r *Router) known(c *Config) bool {
+	if len(c.Known) == 0 || string(c.Known) == "null" {
+		return false
+	}
+	l, err := discovery.Read(c.Known, r.log)
+	if err != nil {
+		r.log.Warn("config: known", "err", err)
+		return false
+	}
+	r.hand(l, decide.ListCached)
+	return len(l.Hosts) > 0
+}
+
+// tell takes what discovery tells.
+func (r *Router) tell(l *discovery.List) {
+	kind := decide.ListDelta
+	if l.Whole {
+		kind = decide.ListFull
+	}
+	r.hand(l, kind)
+	if !r.listed.Swap(true) {
+		r.front.Ready()
+	}
+}
+
+// hand hands a list to those who need it: addresses first, so that an engine is reached as soon as it is chosen.
+func (r *Router) hand(l *discovery.List, kind decide.List) {
+	now := time.Now()
+	news := &link.List{Kind: kind}
+	var engines []backend.Engine
+	var gone []string
+	for _, h := range l.Hosts {
+		p, _ := h.Phase()
+		e := link.Entry{Address: h.Name, Zone: h.Zone, Cell: strconv.Itoa(h.Cell), Machine: h.Machine, Phase: p, Start: h.Born, Age: -1}
+		if h.Born > 0 {
+			e.Age = max(0, now.Sub(time.UnixMilli(h.Born)).Seconds())
+		} else {
+			e.Start = 1 // long ago is a start as any other
+		}
+		news.Entries = append(news.Entries, e)
+		if p == decide.Gone {
+			gone = append(gone, h.Name)
+		} else {
+			engines = append(engines, backend.Engine{Name: h.Name, Address: h.Address})
+		}
+	}
+	r.log.Info("list", "seq", l.Version, "whole", l.Whole, "entries", len(l.Hosts))
+	r.backend.Listed(kind != decide.ListDelta, engines, gone)
+	r.planner.Tell(link.Fact{Kind: link.Listed, List: news})
+}
+
+func (r *Router) tidy(ctx context.Context) {
+	tick := time.NewTicker(tidyEvery)
+	defer tick.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			r.backend.Tidy()
+			if n%figuresEvery == figuresEvery-1 {
+				r.figures.log(r)
+			}
+		}
+	}
+}
+
+// Address is where clients come.
+func (r *Router) Address() string { return r.ln.Addr().String() }
+
+// Fault tells of a part that ended by itself.
+func (r *Router) Fault() <-chan error { return r.fault }
+
+// Reload takes a new configuration: another discovery. What else is new in it holds from the next start, and is logged.
+func (r *Router) Reload(c *Config) {
+	r.log.Info("reload", "discovery", c.Discovery)
+	if c.Listen != r.c.Listen || c.Sockets != r.c.Sockets || c.Memory != r.c.Memory {
+		r.log.Warn("reload: listen and limits hold from the next start")
+	}
+	r.follow.Move(c.Discovery)
+}
+
+// Times of a stop. New connections still come for up to 0.4 s after the signal; what comes after 0.7 s isn't owed
+// an answer of an engine.
+const (
+	stopKeeps = 500 * time.Millisecond // goes on as before, but for Connection: close
+	stopTakes = 700 * time.Millisecond // from the signal; then calls are refused
+)
+
+// Stop takes what still comes for a moment, answers all that was taken, ends clients' connections between calls, and
+// ends all parts.
+func (r *Router) Stop(ctx context.Context) error {
+	began := time.Now()
+	r.front.Linger()
+	wait := func(until time.Duration) {
+		select {
+		case <-time.After(time.Until(began.Add(until))):
+		case <-ctx.Done():
+		}
+	}
+	wait(stopKeeps)
+	r.front.Leave()
+	wait(stopTakes)
+	r.front.Refuse()
+	for r.front.Active() > 0 && ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+	}
+	err := r.edge.Stop(ctx)
+	r.ln.Close() //nolint:errcheck // nobody comes any more
+	r.end()
+	r.parts.Wait()
+	r.backend.Close()
+	r.log.Info("router stopped", "err", err)
+	return err
+}
+
+// Log is the router's log: text on standard error, which the platform keeps.
+func Log(name string) *slog.Logger {
+	level := slog.LevelInfo
+	if os.Getenv("CHERRYHUB_LOG") == "debug" {
+		level = slog.LevelDebug
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("router", name)
+}
--- /dev/null
+++ b/internal/platform/service/service_test.go
@@ -0,0 +1,110 @@
+package service
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/internal/platform/standin"
+)
+
+// whole is what a client gets of an answer of an engine.
+func whole(engine, id string, events int) string {
+	var b strings.Builder
+	for n := range events {
+		b.WriteString(standin.Event(engine, id, n))
+	}
+	return b.String() + standin.Last
+}
+
+// TestServes: a long prompt is read first and written after, a short one is written at once; the prompt goes on byte
+// for byte and the events come back as they were; everything held is let go.
+func TestServes(t *testing.T) {
+	for name, one := range map[string]struct {
+		tokens, reads int
+	}{"long": {2000, 1}, "short": {50, 0}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			body := prompt(one.tokens)
+			status, got, err := s.send(call("a1", body))
+			require.NoError(t, err)
+			require.Equal(t, 200, status)
+			writes := s.w.Calls(standin.Write)
+			require.Len(t, writes, 1)
+			require.Equal(t, whole(writes[0].Engine, "a1", 3), got)
+			reads := s.w.Calls(standin.Read)
+			require.Len(t, reads, one.reads)
+			for _, c := range append(reads, writes...) {
+				require.Equal(t, "a1", c.ID)
+				require.Equal(t, body, string(c.Body))
+				require.Equal(t, "/v1/chat/completions", c.Target)
+			}
+			for _, c := range s.w.Calls(standin.Place) {
+				require.Equal(t, writes[0].Engine, c.Engine)
+				require.False(t, c.At.Before(reads[0].At), "a place asked for before the read's last byte")
+			}
+			s.quiet()
+		})
+	}
+}
+
+// TestOutcomes: each way a dispatch can end is told as what it is: what failed before its first event is sent again,
+// and the client gets one whole answer.
+func TestOutcomes(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.Error, standin.Full, standin.CutEarly, standin.Noise, standin.EndlessHead,
+		standin.BadSize, standin.BadFit, standin.HugeChunk, standin.Ahead, standin.BadReport, standin.Behind, standin.None} {
+		for _, kind := range []standin.Kind{standin.Read, standin.Write} {
+			t.Run(fmt.Sprint(kind, " ", fault), func(t *testing.T) {
+				t.Parallel()
+				s := newSite(t)
+				s.w.Spoil = func(c *standin.Call, nth int) standin.Fault {
+					if c.Kind == kind && nth == 0 {
+						return fault
+					}
+					return standin.None
+				}
+				status, got, err := s.send(call("b1", prompt(2000)))
+				require.NoError(t, err)
+				require.Equal(t, 200, status)
+				writes := s.w.Calls(standin.Write)
+				require.Equal(t, whole(writes[len(writes)-1].Engine, "b1", 3), got)
+				s.quiet()
+				again := 1
+				switch fault {
+				case standin.None, standin.Ahead, standin.BadReport, standin.Behind:
+					again = 0
+				case standin.BadSize, standin.BadFit, standin.HugeChunk:
+					if kind == standin.Read { // a read's answer has no chunks
+						again = 0
+					}
+				}
+				require.Len(t, s.w.Calls(kind), 1+again)
+			})
+		}
+	}
+}
+
+// TestBroken: a stream that breaks after its first event ends the client's connection without the last chunk.
+func TestBroken(t *testing.T) {
+	for _, fault := range []standin.Fault{standin.CutLate, standin.LateBadSize, standin.NoDone, standin.Stall} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.w.Spoil = func(c *standin.Call, _ int) standin.Fault {
+				if c.Kind == standin.Write {
+					return fault
+				}
+				return standin.None
+			}
+			status, got, err := s.send(call("c1", prompt(50)))
+			require.Equal(t, 200, status)
+			require.Error(t, err, "the last chunk came")
+			require.True(t, strings.HasPrefix(got, standin.Event(s.w.Calls(standin.Write)[0].Engine, "c1", 0)))
+			require.Len(t, s.w.Calls(standin.Write), 1, "what has begun is not sent again")
+			s.quiet()
+		})
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,7 +84,7 @@
 	}
 	metrics := telemetry.NewMetrics(names)
 	eo := config.Edge(r, limits.settings)
-	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, client, log, metrics
+	eo.Listener, eo.Engines, eo.Log, eo.Observe = ln, edge.VLLM(client), log, metrics
 	one := &Router{Metrics: metrics, settings: r, address: ln.Addr(), client: client, log: log, fault: make(chan error, 3), divided: limits.divided}
 	if one.door, err = limits.door(r, ln, log); err != nil {
 		return nil, fmt.Errorf("router %s: %w", r.GetName(), err)
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 
 	"cherryhub/decide"
+	"cherryhub/internal/settings"
 )
 
 var handlers = map[int]func(h *Host, f *frame, clock uint64){
@@ -48,10 +49,10 @@
 	}
 	in := &instance{who: who, out: &h.reply, count: &h.count, start: clock,
 		engines: map[[6]byte]int{}, handles: map[uint64]*decide.Completion{}}
-	settings, err := parseSettings(text)
+	all, err := settings.Parse(text)
 	if err == nil {
-		settings.Seed = seed
-		in.router, err = decide.New(settings, in)
+		all.Decide.Seed = seed
+		in.router, err = decide.New(all.Decide, in)
 	}
 	if err != nil {
 		delete(h.instances, who)
