Each dispatch's end is in the log at debug level: stage, engine, times, tokens found and answered

Seen: late answers are not late first tokens (2 of 139 over 1.5 s where 19 count as late) but slow streams, 3 to 4 s at writers with 5 streams and 6 to 7 s at those with 25; the usage event's token count follows the clock here and tells nothing of it. Writers of one kind hold 2 to 28 streams at one moment. Where twice the usual load comes, 300 requests find no client connection left, since streams hold them. Ruled out: cold engines, the time through the router (0.5 ms), wide reads.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -44,6 +44,7 @@
 	engine string // its address
 	reads  bool
 	at     time.Time
+	first  time.Duration // until its first token, of a write that won
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	stream Stream
@@ -206,16 +207,21 @@
 		return
 	}
 	r.stream = stream
-	c.e.planner.Tell(link.Fact{Kind: link.Started, Completion: c.id, Dispatch: r.n, Took: time.Since(r.at).Seconds()})
+	r.first = time.Since(r.at)
+	c.e.planner.Tell(link.Fact{Kind: link.Started, Completion: c.id, Dispatch: r.n, Took: r.first.Seconds()})
 	c.begun <- r // there is room for the one that wins
 }
 
 // ended tells the planner of a dispatch's end, and the handler where the completion is at fault.
 func (r *run) ended(result *engine.Result) {
 	c, took := r.c, time.Since(r.at)
-	if result.Err != nil {
-		c.e.o.Log.Debug("dispatch failed", "completion", c.r.Name, "dispatch", r.n, "engine", r.engine, "outcome", result.Outcome, "err", result.Err)
+	var usage engine.Usage
+	if r.stream != nil {
+		usage, _ = r.stream.Usage()
 	}
+	c.e.o.Log.Debug("dispatch ended", "completion", c.r.Name, "dispatch", r.n, "engine", r.engine, "reads", r.reads,
+		"outcome", result.Outcome, "after", r.at.Sub(c.r.Arrived).Seconds(), "first", r.first.Seconds(), "took", took.Seconds(),
+		"found", result.Found, "answer", usage.Answer, "err", result.Err)
 	if result.Body != nil && c.won.CompareAndSwap(0, answered) {
 		c.fault <- result
 	}
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -158,6 +158,7 @@
 			e.Start = 1 // long ago is a start as any other
 		}
 		news.Entries = append(news.Entries, e)
+		r.log.Debug("engine", "engine", h.Name, "machine", h.Machine, "zone", h.Zone, "cell", h.Cell, "health", h.Health, "age", e.Age)
 		if p == decide.Gone {
 			gone = append(gone, h.Name)
 		} else {
