--- /dev/null
+++ b/internal/platform/backend/backend_test.go
@@ -0,0 +1,111 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/loopback"
+	"cherryhub/internal/platform/standin"
+)
+
+func client(t *testing.T, engines ...Engine) *Client {
+	c := New(Options{Columns: []string{"queue", "util"}, Probes: true, ConnectTimeout: 250 * time.Millisecond, IdleConn: 10 * time.Second, MaxConns: 16})
+	t.Cleanup(c.Close)
+	c.Listed(true, engines, nil)
+	return c
+}
+
+func read(c *Client, name string) *engine.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	return c.Read(ctx, &engine.Call{Address: name, ID: "x", Target: "/v1/chat/completions", Body: []byte("{}"), Reads: true, Timeout: time.Second})
+}
+
+// TestKept: a connection is used again, one that the engine has closed meanwhile is not, and nothing is sent twice.
+func TestKept(t *testing.T) {
+	w := standin.NewWorld()
+	e, err := w.Start("e", true)
+	require.NoError(t, err)
+	c := client(t, Engine{"e", e.Address()})
+	for range 3 {
+		r := read(c, "e")
+		require.Equal(t, decide.Read, r.Outcome)
+		require.Equal(t, []float64{1, 0.5}, r.Report)
+		require.Equal(t, 128.0, r.Found)
+	}
+	for _, call := range w.Calls(standin.Read) {
+		require.Equal(t, 1, call.Conn)
+	}
+	e.Close()
+	require.Eventually(t, func() bool { return e.Conns() == 0 }, time.Second, time.Millisecond)
+	require.Equal(t, decide.Unreachable, read(c, "e").Outcome, "a call that no engine got may not count as run")
+	require.Len(t, w.Calls(standin.Read), 3)
+}
+
+// TestUnreachable: what never came up was never run; an engine that is not listed is no dispatch at all.
+func TestUnreachable(t *testing.T) {
+	ln, err := loopback.Listen("127.0.0.1")
+	require.NoError(t, err)
+	address := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	c := client(t, Engine{"refuses", address})
+	require.Equal(t, decide.Unreachable, read(c, "refuses").Outcome)
+	require.Equal(t, decide.Moot, read(c, "nobody").Outcome)
+}
+
+// TestBrokenWrite: a connection that breaks while the call is written counts as never run.
+func TestBrokenWrite(t *testing.T) {
+	near, far := net.Pipe()
+	go func() {
+		far.Read(make([]byte, 64)) //nolint:errcheck // a part of it
+		far.Close()                //nolint:errcheck // breaks it
+	}()
+	c := New(Options{ConnectTimeout: time.Second, IdleConn: time.Second, MaxConns: 1,
+		Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+	t.Cleanup(c.Close)
+	c.Listed(true, []Engine{{"e", "any"}}, nil)
+	require.Equal(t, decide.Unreachable, read(c, "e").Outcome)
+}
+
+// TestReleaseElsewhere: any engine lets go of all, so one that is gone or silent doesn't keep a state held.
+func TestReleaseElsewhere(t *testing.T) {
+	w := standin.NewWorld()
+	var all []Engine
+	for _, name := range [...]string{"silent", "well"} {
+		e, err := w.Start(name, true)
+		require.NoError(t, err)
+		t.Cleanup(e.Close)
+		all = append(all, Engine{name, e.Address()})
+	}
+	w.Spoil = func(c *standin.Call, _ int) standin.Fault {
+		if c.Engine == "silent" && c.Kind == standin.Release {
+			return standin.Silent
+		}
+		return standin.None
+	}
+	c := client(t, all...)
+	require.Equal(t, decide.Read, read(c, "silent").Outcome)
+	require.Equal(t, 1, w.Held())
+	began := time.Now()
+	require.NoError(t, c.Release(context.Background(), "silent", "x"))
+	require.Less(t, time.Since(began), 300*time.Millisecond)
+	require.Zero(t, w.Held())
+}
+
+// TestReports: a report that can't be read tells nothing, and one that lacks a figure tells the others.
+func TestReports(t *testing.T) {
+	for text, want := range map[string][]float64{`{"util":0.5,"queue":2}`: {2, 0.5}, `{"util":1e999}`: nil, `[1]`: nil, `{"util":`: nil,
+		`{"queue":-1}`: nil, `{"queue":"many"}`: nil, ``: nil} {
+		require.Equal(t, want, reportOf([]string{"queue", "util"}, []byte(text)), text)
+	}
+	one := reportOf([]string{"queue", "util"}, []byte(`{"queue":3}`))
+	require.Len(t, one, 2)
+	require.Equal(t, 3.0, one[0])
+	require.NotEqual(t, one[1], one[1], "a figure that is missing is no number") //nolint:testifylint // NaN
+}
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -201,11 +201,11 @@
 	r.follow.Move(c.Discovery)
 }
 
-// Times of a stop. New connections still come for up to 0.4 s after the signal; what comes after 0.7 s isn't owed
-// an answer of an engine.
+// Times of a stop. New connections still come for up to 0.4 s after the signal. A call that comes more than 0.7 s
+// after it must be answered whole before the kill, which no stream can be sure of; the clock here may run late.
 const (
 	stopKeeps = 500 * time.Millisecond // goes on as before, but for Connection: close
-	stopTakes = 700 * time.Millisecond // from the signal; then calls are refused
+	stopTakes = 600 * time.Millisecond // from the signal; then calls are refused
 )
 
 // Stop takes what still comes for a moment, answers all that was taken, ends clients' connections between calls, and
