What asks for the rest of a broken answer is let in; a stopping router takes a little longer

Ruled out: readiness (0.0 s after the start, first calls 0.2 s later), discovery, descriptors.

Change: Prompt.Again, which the wire tells in bit 16 and clients in X-Retry: again; only its time holds such a completion back (Take). Where streams may be resumed, calls on kept connections are taken until 2.2 s before the earliest kill, with their first event or an error 0.9 s and their stream's cut 0.65 s before it (front.LastCalls).

--- a/decide/api.go
+++ b/decide/api.go
@@ -116,6 +116,7 @@
 	MaxAnswer  float64 // tokens
 	AnswerHint float64 // seconds at the token target, 0 for unknown
 	Left       float64 // seconds until the client gives up
+	Again      bool    // it asks for the rest of an answer that broke
 }
 
 // Outcome is how a dispatch or a probe ended.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -429,6 +429,16 @@
 			assert.Contains(t, b.acts[0], want)
 		}
 	})
+	t.Run("one that asks for the rest of its answer is held back by its time alone", func(t *testing.T) {
+		for left, want := range map[float64]string{8: "dispatch", 0.01: "rate-limit"} {
+			r, b := start(t, nil, fleet())
+			r.stages[1].pace = 1e-2 // as above: any other is rate-limited
+			p := prompt(0, 3000)
+			p.Again, p.Left = true, left
+			r.Take(1, p)
+			assert.Contains(t, b.acts[0], want)
+		}
+	})
 	t.Run("jammed readers are read around by mixed engines", func(t *testing.T) {
 		r, b := start(t, nil, []Fact{ready(0, 0, 0, longAgo), ready(2, 2, 0, longAgo)})
 		r.stages[2].pace = 1e-5
--- a/internal/platform/front/call.go
+++ b/internal/platform/front/call.go
@@ -97,6 +97,8 @@
 		}
 		w.prompt.AnswerHint = hint / 1e6
 	}
+	retry, _ := h.Get("x-retry")
+	w.prompt.Again = retry == "again"
 	return w, w.extras(values[5])
 }
 
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -67,6 +67,8 @@
 	again   atomic.Int64    // calls for the rest of a broken stream
 	refused [6]atomic.Int64 // answers by the hundreds of their status
 
+	last atomic.Pointer[LastCalls] // nil until a stop that takes some more
+
 	mu    sync.Mutex
 	next  uint64
 	room  *room
@@ -105,6 +107,16 @@
 	}
 }
 
+// LastCalls is what holds for calls that a stopping router still takes on connections that clients have.
+type LastCalls struct {
+	From    time.Time // calls that come later are such
+	FirstBy time.Time // they have their first event by then, or an error
+	CutAt   time.Time // their streams are cut off then, and their clients ask another router for the rest
+}
+
+// TakeLast has calls be taken by these times until Refuse.
+func (s *Server) TakeLast(l LastCalls) { s.last.Store(&l) }
+
 // Refuse has every call that comes from now on answered with 503.
 func (s *Server) Refuse() { s.closing.Store(true) }
 
@@ -280,7 +292,7 @@
 			return
 		}
 	}
-	if v, _ := h.Get("x-retry"); v == "again" {
+	if w.prompt.Again {
 		s.again.Add(1)
 	}
 	held := int64(0)
@@ -318,19 +330,29 @@
 		c.refuse(fault)
 		return
 	}
+	last := s.last.Load()
+	if last != nil && arrived.Before(last.From) {
+		last = nil
+	}
+	if last != nil {
+		w.timeout = max(time.Millisecond, min(w.timeout, last.FirstBy.Sub(arrived)))
+	}
 	over := sync.OnceFunc(func() {
 		giveBack()
 		s.mu.Lock()
 		s.ids.end(time.Now(), w.id)
 		s.mu.Unlock()
 	})
-	c.take(&edge.Request{ID: s.o.Edge.NextID(), Name: w.id, Target: h.Target, Prompt: w.prompt, Arrived: arrived, Timeout: w.timeout,
+	c.take(last, &edge.Request{ID: s.o.Edge.NextID(), Name: w.id, Target: h.Target, Prompt: w.prompt, Arrived: arrived, Timeout: w.timeout,
 		Margin: min(s.o.Margin, w.timeout/4), Whole: s.o.StreamMost, Body: func(bool, []byte) []byte { return body }, Over: over})
 }
 
 // take has the edge take a call, and watches meanwhile whether the client leaves.
-func (c *client) take(r *edge.Request) {
+func (c *client) take(last *LastCalls, r *edge.Request) {
 	ctx, cancel := context.WithCancel(context.Background())
+	if last != nil {
+		defer time.AfterFunc(time.Until(last.CutAt), cancel).Stop()
+	}
 	watched := make(chan struct{})
 	c.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // a connection that is closed fails in reading
 	go func() {
--- a/internal/platform/service/lifecycle_test.go
+++ b/internal/platform/service/lifecycle_test.go
@@ -100,6 +100,58 @@
 	require.Zero(t, s.w.Held())
 }
 
+// TestLastCalls: where clients ask for the rest of a stream, a stopping router takes calls on the connections that
+// clients have: they get their first event or an error in time, their streams are cut off before the kill and don't look
+// whole, and what was taken before the signal goes on.
+func TestLastCalls(t *testing.T) {
+	s := newSite(t, `"holds-allowed"`, `"resume":true,"holds-allowed"`)
+	s.w.Pause, s.w.Events = 500*time.Millisecond, 12
+	kept := func(id string) (net.Conn, *bufio.Reader) { // a connection that brings a call that fails at once
+		conn, err := net.Dial("tcp", s.c.Listen)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		_, err = io.WriteString(conn, call(id, prompt(20), "X-Class: nobody"))
+		require.NoError(t, err)
+		r := bufio.NewReader(conn)
+		return conn, r
+	}
+	conn, _ := net.Dial("tcp", s.c.Listen)
+	t.Cleanup(func() { conn.Close() })
+	_, err := io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: r\r\n\r\n")
+	require.NoError(t, err)
+	r := bufio.NewReader(conn)
+	status, _, err := answerOf(r)
+	require.NoError(t, err)
+	require.Equal(t, 200, status)
+	_, refused := kept("refused")
+	status, _, err = answerOf(refused)
+	require.NoError(t, err)
+	require.Equal(t, 400, status)
+
+	before := make(chan error, 1)
+	go func() {
+		status, _, err := s.send(call("before", prompt(20)))
+		if status != 200 {
+			err = fmt.Errorf("status %d, %w", status, err)
+		}
+		before <- err
+	}()
+	require.Eventually(t, func() bool { return len(s.w.Calls(standin.Write)) == 1 }, 2*time.Second, time.Millisecond)
+	began, stopped := time.Now(), make(chan error, 1)
+	go func() { stopped <- s.stop() }()
+	time.Sleep(900 * time.Millisecond)
+	_, err = io.WriteString(conn, call("late", prompt(20)))
+	require.NoError(t, err)
+	status, got, err := answerOf(r)
+	require.Equal(t, 200, status)
+	require.Error(t, err, "a stream that was cut off looks whole")
+	require.Contains(t, got, "late 0")
+	require.Less(t, time.Since(began), 3500*time.Millisecond)
+	require.NoError(t, <-before, "what was taken before the signal was cut off")
+	require.NoError(t, <-stopped)
+	require.Zero(t, s.w.Held())
+}
+
 // TestReload: the new discovery is followed at once, what runs goes on, and a bad file changes nothing.
 func TestReload(t *testing.T) {
 	s := newSite(t)
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -206,25 +207,48 @@
 const (
 	stopKeeps = 500 * time.Millisecond // goes on as before, but for Connection: close
 	stopTakes = 600 * time.Millisecond // from the signal; then calls are refused
+
+	// Where clients ask elsewhere for the rest of a stream, some more is taken on the connections that they have. The
+	// kill comes no sooner than the longest client timeout, or killWaits if that is longer, and killGrace.
+	killWaits = 3 * time.Second
+	killGrace = 700 * time.Millisecond
+	lastTakes = 2200 * time.Millisecond // before the kill; until then calls are taken
+	lastFirst = 900 * time.Millisecond  // before the kill; by then they have their first event or an error
+	lastCut   = 650 * time.Millisecond  // before the kill; then their streams are cut off
 )
 
+// killAfter is how long after SIGTERM the kill comes at the soonest.
+func (c *Config) killAfter() time.Duration {
+	return min(killWaits, slices.Max(c.Settings.Timeouts)) + killGrace
+}
+
 // Stop takes what still comes for a moment, answers all that was taken, ends clients' connections between calls, and
 // ends all parts.
 func (r *Router) Stop(ctx context.Context) error {
 	began := time.Now()
 	r.log.Info("stop", "calls", r.front.Active())
-	r.front.Linger()
 	wait := func(until time.Duration) {
 		select {
 		case <-time.After(time.Until(began.Add(until))):
 		case <-ctx.Done():
 		}
 	}
-	wait(stopKeeps)
-	r.front.Leave()
-	r.log.Info("stop: connections between calls closed", "calls", r.front.Active())
-	wait(stopTakes)
-	r.front.Refuse()
+	kill := r.c.killAfter()
+	if takes := kill - lastTakes; r.c.Settings.Resume && takes > stopTakes {
+		// In a rolling restart of few routers none may be in service for a while: what comes then on connections
+		// that clients keep would find nobody. It harms, where others are in service, by one more read for each
+		// stream that is cut off.
+		r.front.TakeLast(front.LastCalls{From: began.Add(stopKeeps), FirstBy: began.Add(kill - lastFirst), CutAt: began.Add(kill - lastCut)})
+		wait(takes)
+		r.front.Refuse()
+		r.front.Leave()
+	} else {
+		r.front.Linger()
+		wait(stopKeeps)
+		r.front.Leave()
+		wait(stopTakes)
+		r.front.Refuse()
+	}
 	r.log.Info("stop: calls are refused from now on", "calls", r.front.Active())
 	for r.front.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	ConnIdle       time.Duration // an engine closes a connection that was idle so long
 	ConnectTimeout time.Duration
 	LetGo          time.Duration // a state is held no longer while no dispatch is out
+	Resume         bool          // clients ask elsewhere for the rest of a stream that broke
 }
 
 // Serves tells whether a real router can be run by these settings, which name what clients and discovery name.
@@ -61,6 +62,7 @@
 			HoldsAllowed      bool      `json:"holds-allowed"`
 			KVTokens          []float64 `json:"kv-tokens"`
 			LetGo             float64   `json:"let-go-by-ns"`
+			Resume            bool      `json:"resume"`
 			StageOfKind       []string  `json:"stage-of-kind"`
 			TokenTarget       []float64 `json:"token-aim-ns"`
 			TransferPrice     float64   `json:"transfer-price"`
@@ -130,7 +132,7 @@
 		s.Roles = append(s.Roles, role)
 	}
 	all := Settings{Zones: raw.Zones, Machines: raw.Kinds, ConnIdle: time.Duration(raw.Limits.ConnIdle),
-		ConnectTimeout: time.Duration(raw.Limits.ConnectTimeout), LetGo: time.Duration(fam.LetGo)}
+		ConnectTimeout: time.Duration(raw.Limits.ConnectTimeout), LetGo: time.Duration(fam.LetGo), Resume: fam.Resume}
 	for i, l := range raw.Lanes {
 		w := decide.Workload{Target: l.Aim / 1e9, Value: l.Worth, Window: l.Window / 1e9}
 		switch l.Effect {
--- a/internal/wire/events.go
+++ b/internal/wire/events.go
@@ -102,6 +102,7 @@
 	if bits&1 != 0 {
 		p.AnswerHint = hint
 	}
+	p.Again = bits&16 != 0
 	h.call(who, clock, f.err, func(in *instance) {
 		if c := in.router.Take(id, p); !c.Over() {
 			in.handles[id] = c
