--- a/internal/platform/front/room.go
+++ b/internal/platform/front/room.go
@@ -15,10 +15,9 @@
 }
 
 type place struct {
-	id   uint64
-	in   *list.List // nil while a call runs
-	at   *list.Element
-	gone bool
+	id uint64
+	in *list.List // nil while a call runs
+	at *list.Element
 }
 
 func newRoom(most int) *room {
@@ -37,7 +36,6 @@
 			return 0, false, false
 		}
 		p := first.Value.(*place) //nolint:forcetypeassert // nothing else is in it
-		p.gone = true
 		r.leave(p.id)
 		evict, evicts = p.id, true
 	}
