--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -146,7 +147,7 @@
 	if !c.e.o.OneName {
 		id += "-" + strconv.Itoa(r.n)
 	}
-	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Reads: r.reads, Wrote: r.wasSent,
+	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Wrote: r.wasSent,
 		Heard: func(report []float64) {
 			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
@@ -215,13 +216,15 @@
 // ended tells the planner of a dispatch's end, and the handler where the completion is at fault.
 func (r *run) ended(result *engine.Result) {
 	c, took := r.c, time.Since(r.at)
-	var usage engine.Usage
-	if r.stream != nil {
-		usage, _ = r.stream.Usage()
+	if c.e.o.Log.Enabled(r.ctx, slog.LevelDebug) {
+		var usage engine.Usage
+		if r.stream != nil {
+			usage, _ = r.stream.Usage()
+		}
+		c.e.o.Log.Debug("dispatch ended", "completion", c.r.Name, "dispatch", r.n, "engine", r.engine, "reads", r.reads,
+			"outcome", result.Outcome, "after", r.at.Sub(c.r.Arrived).Seconds(), "first", r.first.Seconds(), "took", took.Seconds(),
+			"found", result.Found, "answer", usage.Answer, "err", result.Err)
 	}
-	c.e.o.Log.Debug("dispatch ended", "completion", c.r.Name, "dispatch", r.n, "engine", r.engine, "reads", r.reads,
-		"outcome", result.Outcome, "after", r.at.Sub(c.r.Arrived).Seconds(), "first", r.first.Seconds(), "took", took.Seconds(),
-		"found", result.Found, "answer", usage.Answer, "err", result.Err)
 	if result.Body != nil && c.won.CompareAndSwap(0, answered) {
 		c.fault <- result
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"cherryhub/decide"
@@ -85,7 +86,9 @@
 	e.o.Observe.Took(prompt.Workload)
 	how := c.serve(ctx, r.Arrived.Add(r.Timeout-r.Margin/2), r.Arrived.Add(r.Whole-r.Margin/2))
 	e.o.Observe.Answered(prompt.Workload, how, time.Since(r.Arrived))
-	e.o.Log.Debug("completion answered", "completion", r.Name, "workload", prompt.Workload, "answer", how, "tokens", prompt.Len, "shared", prompt.SharedLen, "seconds", time.Since(r.Arrived).Seconds())
+	if e.o.Log.Enabled(ctx, slog.LevelDebug) {
+		e.o.Log.Debug("completion answered", "completion", r.Name, "workload", prompt.Workload, "answer", how, "tokens", prompt.Len, "shared", prompt.SharedLen, "seconds", time.Since(r.Arrived).Seconds())
+	}
 	c.mu.Lock()
 	c.handled = true
 	c.mu.Unlock()
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -132,7 +132,6 @@
 	Trace   string // traceparent, empty for none
 	Target  string // of the call, empty for the chat call's own
 	Body    []byte
-	Reads   bool
 	Timeout time.Duration          // of a read
 	Wrote   func()                 // is called once the last byte is written, nil for none
 	Heard   func(report []float64) // is called with a report in the header, nil for none
--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -45,7 +45,6 @@
 	mu      sync.Mutex
 	targets map[string]*target // by name
 	names   []string           // of all, in the list's order
-	idle    int
 }
 
 // target is an engine as it is reached.
@@ -116,7 +115,7 @@
 			c.names = append(c.names, e.Name)
 		}
 		if t.address != e.Address {
-			drop = append(drop, c.empty(t)...)
+			drop = append(drop, t.empty()...)
 		}
 		t.address, t.listed = e.Address, true
 	}
@@ -132,9 +131,9 @@
 			t.goneAt = time.Time{}
 		case t.goneAt.IsZero():
 			t.goneAt = now
-			drop = append(drop, c.empty(t)...)
+			drop = append(drop, t.empty()...)
 		case now.Sub(t.goneAt) > targetRests:
-			drop = append(drop, c.empty(t)...)
+			drop = append(drop, t.empty()...)
 			delete(c.targets, name)
 			return true
 		}
@@ -150,11 +149,10 @@
 	}
 }
 
-// empty takes all idle connections of a target; it is called with the lock.
-func (c *Client) empty(t *target) []*conn {
+// empty takes all idle connections; it is called with the client's lock.
+func (t *target) empty() []*conn {
 	all := t.idle
 	t.idle = nil
-	c.idle -= len(all)
 	return all
 }
 
@@ -171,7 +169,6 @@
 	if oldest != nil {
 		one = oldest.idle[0]
 		oldest.idle = slices.Delete(oldest.idle, 0, 1)
-		c.idle--
 	}
 	c.mu.Unlock()
 	if one != nil {
@@ -191,7 +188,6 @@
 		}
 		drop = append(drop, t.idle[:n]...)
 		t.idle = slices.Delete(t.idle, 0, n)
-		c.idle -= n
 	}
 	c.mu.Unlock()
 	closeAll(drop)
@@ -202,7 +198,7 @@
 	c.mu.Lock()
 	var drop []*conn
 	for _, t := range c.targets {
-		drop = append(drop, c.empty(t)...)
+		drop = append(drop, t.empty()...)
 	}
 	c.mu.Unlock()
 	closeAll(drop)
@@ -210,10 +206,13 @@
 }
 
 // Idle is how many connections are kept.
-func (c *Client) Idle() int {
+func (c *Client) Idle() (n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idle
+	for _, t := range c.targets {
+		n += len(t.idle)
+	}
+	return n
 }
 
 var errUnknown = errors.New("an engine that is not on the list")
@@ -234,7 +233,6 @@
 		if n := len(t.idle); n > 0 {
 			one = t.idle[n-1]
 			t.idle = t.idle[:n-1]
-			c.idle--
 		}
 		c.mu.Unlock()
 		if one == nil {
@@ -287,7 +285,6 @@
 	keep := one.t.listed && len(one.t.idle) < keptMost
 	if keep {
 		one.t.idle = append(one.t.idle, one)
-		c.idle++
 	}
 	c.mu.Unlock()
 	if !keep {
@@ -301,7 +298,7 @@
 	c.mu.Lock()
 	var drop []*conn
 	if t := c.targets[name]; t != nil {
-		drop = c.empty(t)
+		drop = t.empty()
 	}
 	c.mu.Unlock()
 	closeAll(drop)
--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -34,6 +34,8 @@
 	name   string
 	buf    []byte // of chunks that came whole
 	read   int    // of buf, handed on
+	end    int    // in buf, of the event that comes next; 0: it has not come whole
+	seen   bool   // that event was looked at
 	events int
 	done   bool // [DONE] came
 	total  int
@@ -56,13 +58,7 @@
 	if !strings.HasPrefix(kind, "text/event-stream") || a.head.Length >= 0 {
 		s.err = fmt.Errorf("%w: content type %.40q, no chunks", engine.ErrMalformed, kind)
 	}
-	for s.err == nil && !s.More() {
-		s.fill()
-	}
-	if s.err == nil {
-		s.err = s.check()
-	}
-	if s.err != nil && !errors.Is(s.err, io.EOF) {
+	if s.await(); s.err != nil && !errors.Is(s.err, io.EOF) {
 		return nil, s.Close()
 	}
 	return s, nil
@@ -119,33 +115,46 @@
 
 // More tells whether a whole event more has come already. Load reports ahead of it are taken out.
 func (s *stream) More() bool {
-	for {
+	for s.end == 0 {
 		rest := s.buf[s.read:]
-		end := bytes.Index(rest, blank)
-		if end < 0 {
+		n := bytes.Index(rest, blank)
+		if n < 0 {
 			return false
 		}
 		if rest[0] != ':' {
-			return true
-		}
-		if text, is := bytes.CutPrefix(rest[:end], []byte(": X-Load:")); is {
-			s.report = s.a.c.report(bytes.TrimSpace(text))
+			s.end = s.read + n + len(blank)
+			break
 		}
-		s.read += end + len(blank)
+		s.comment(rest[:n])
+		s.read += n + len(blank)
+	}
+	return true
+}
+
+// comment takes the load report that a comment may be.
+func (s *stream) comment(line []byte) {
+	if text, is := bytes.CutPrefix(line, []byte(": X-Load:")); is {
+		s.report = s.a.c.report(bytes.TrimSpace(text))
+	}
+}
+
+// await reads until the next event has come whole, and looks at it once.
+func (s *stream) await() {
+	for s.err == nil && !s.More() {
+		s.fill()
+	}
+	if s.err == nil && !s.seen {
+		s.err, s.seen = s.check(), true
 	}
 }
 
 // check looks at the event that comes next.
 func (s *stream) check() error {
-	rest := s.buf[s.read:]
-	event := rest[:bytes.Index(rest, blank)]
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
+	for line := range bytes.SplitSeq(s.buf[s.read:s.end-len(blank)], []byte("\n")) {
 		data, is := bytes.CutPrefix(line, []byte("data:"))
 		if !is {
 			if len(line) > 0 && line[0] == ':' {
-				if text, is := bytes.CutPrefix(line, []byte(": X-Load:")); is {
-					s.report = s.a.c.report(bytes.TrimSpace(text))
-				}
+				s.comment(line)
 				continue
 			}
 			return fmt.Errorf("%w: a line of no event: %.40q", engine.ErrMalformed, line)
@@ -169,20 +178,13 @@
 
 // Next gives the next event as it came; io.EOF after the last chunk of a whole answer.
 func (s *stream) Next() (engine.Event, error) {
-	for s.err == nil && !s.More() {
-		s.fill()
-	}
-	if s.err == nil {
-		s.err = s.check()
-	}
-	if s.err != nil {
+	if s.await(); s.err != nil {
 		return engine.Event{}, s.err
 	}
-	rest := s.buf[s.read:]
-	end := bytes.Index(rest, blank) + len(blank)
-	s.read += end
+	event := engine.Event{Raw: s.buf[s.read:s.end]}
+	s.read, s.end, s.seen = s.end, 0, false
 	s.events++
-	return engine.Event{Raw: rest[:end]}, nil
+	return event, nil
 }
 
 // Usage is what was said of the tokens, and whether it was.
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -102,7 +103,7 @@
 	s.leaving.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, more := s.room.oldestIdle(); more; id, more = s.room.oldestIdle() {
+	for id, more := s.room.oldest(s.room.idle); more; id, more = s.room.oldest(s.room.idle) {
 		s.evict(id)
 	}
 }
@@ -233,13 +234,7 @@
 	if h.Close {
 		c.last = true
 	}
-	path := h.Target
-	for i := range len(path) {
-		if path[i] == '?' {
-			path = path[:i]
-			break
-		}
-	}
+	path, _, _ := strings.Cut(h.Target, "?")
 	switch {
 	case path == "/up" && h.Method == http.MethodGet && h.Length == 0:
 		if c.s.ready.Load() && !c.s.closing.Load() {
--- a/internal/platform/front/room.go
+++ b/internal/platform/front/room.go
@@ -27,17 +27,12 @@
 // enter lets a connection in. evict is one that has to go for it; ok is false where all places have a call.
 func (r *room) enter(id uint64) (evict uint64, evicts, ok bool) {
 	if len(r.all) >= r.most {
-		from := r.silent
-		if from.Len() == 0 {
-			from = r.idle
+		if evict, evicts = r.oldest(r.silent); !evicts {
+			evict, evicts = r.oldest(r.idle)
 		}
-		first := from.Front()
-		if first == nil {
+		if !evicts {
 			return 0, false, false
 		}
-		p := first.Value.(*place) //nolint:forcetypeassert // nothing else is in it
-		r.leave(p.id)
-		evict, evicts = p.id, true
 	}
 	p := &place{id: id, in: r.silent}
 	p.at = r.silent.PushBack(p)
@@ -78,9 +73,9 @@
 	delete(r.all, id)
 }
 
-// oldestIdle takes out the connection that has been without a call for longest after one.
-func (r *room) oldestIdle() (uint64, bool) {
-	first := r.idle.Front()
+// oldest takes out the connection that has been in a list for longest.
+func (r *room) oldest(in *list.List) (uint64, bool) {
+	first := in.Front()
 	if first == nil {
 		return 0, false
 	}
--- a/internal/platform/service/config.go
+++ b/internal/platform/service/config.go
@@ -14,7 +14,6 @@
 // Config is what a router is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
-	Seed                    uint64
 	Memory                  int64 // bytes
 	Sockets                 int
 	Known                   json.RawMessage // a list as discovery tells it, nil for none
@@ -36,7 +35,8 @@
 	socketsMost  = 1 << 20
 )
 
-// Load reads the file that EDGE_CONFIG names. The other variables prevail over the file, as they are this process's own.
+// Load reads the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN prevail over it, as they are this process's own;
+// the file prevails over EDGE_DISCOVERY, since it is replaced while the process runs.
 func Load(getenv func(string) string) (*Config, error) {
 	file := getenv("EDGE_CONFIG")
 	if file == "" {
@@ -103,7 +103,7 @@
 		return nil, badConfig("config: %w", err)
 	}
 	all.Decide.Seed = seed
-	return &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Seed: seed, Memory: raw.Limits.Memory << 20,
+	return &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Memory: raw.Limits.Memory << 20,
 		Sockets: raw.Limits.Sockets, Known: raw.Known, Settings: all}, nil
 }
 
--- a/internal/platform/service/helper_test.go
+++ b/internal/platform/service/helper_test.go
@@ -103,10 +103,7 @@
 func call(id, body string, fields ...string) string {
 	all := map[string]string{"X-Request-Id": id, "X-Class": "chat", "X-Tenant": "acme", "X-Key": "k-" + id, "X-Deadline": "4000m",
 		"X-Extras": fmt.Sprintf("prompt_len=%d,max_out=20", len(body)/4)}
-	var order []string
-	for _, name := range [...]string{"X-Request-Id", "X-Class", "X-Tenant", "X-Key", "X-Deadline", "X-Extras"} {
-		order = append(order, name)
-	}
+	order := []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Key", "X-Deadline", "X-Extras"}
 	for _, f := range fields {
 		name, value, _ := strings.Cut(f, ": ")
 		if _, there := all[name]; !there {
--- a/internal/platform/service/lifecycle_test.go
+++ b/internal/platform/service/lifecycle_test.go
@@ -106,25 +106,16 @@
 func TestLastCalls(t *testing.T) {
 	s := newSite(t, `"holds-allowed"`, `"resume":true,"holds-allowed"`)
 	s.w.Pause, s.w.Events = 500*time.Millisecond, 12
-	kept := func(id string) (net.Conn, *bufio.Reader) { // a connection that brings a call that fails at once
-		conn, err := net.Dial("tcp", s.c.Listen)
-		require.NoError(t, err)
-		t.Cleanup(func() { conn.Close() })
-		_, err = io.WriteString(conn, call(id, prompt(20), "X-Class: nobody"))
-		require.NoError(t, err)
-		r := bufio.NewReader(conn)
-		return conn, r
-	}
-	conn, _ := net.Dial("tcp", s.c.Listen)
+	conn, err := net.Dial("tcp", s.c.Listen)
+	require.NoError(t, err)
 	t.Cleanup(func() { conn.Close() })
-	_, err := io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: r\r\n\r\n")
+	_, err = io.WriteString(conn, "GET /up HTTP/1.1\r\nHost: r\r\n\r\n")
 	require.NoError(t, err)
 	r := bufio.NewReader(conn)
 	status, _, err := answerOf(r)
 	require.NoError(t, err)
 	require.Equal(t, 200, status)
-	_, refused := kept("refused")
-	status, _, err = answerOf(refused)
+	status, _, err = s.send(call("refused", prompt(20), "X-Class: nobody"))
 	require.NoError(t, err)
 	require.Equal(t, 400, status)
 
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -14,7 +14,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cherryhub/decide"
@@ -55,7 +54,6 @@
 	end     context.CancelFunc
 	parts   sync.WaitGroup
 	fault   chan error
-	listed  atomic.Bool
 	figures *figures
 }
 
@@ -79,12 +77,7 @@
 	engines := free - clients
 	r.backend = backend.New(backend.Options{Columns: s.Decide.Columns, Probes: s.Decide.Probes, ConnectTimeout: s.ConnectTimeout,
 		IdleConn: s.ConnIdle, MaxConns: engines})
-	var works []edge.Workload
-	for i, name := range s.Workloads {
-		works = append(works, edge.Workload{Name: name, Timeout: s.Timeouts[i], Effect: s.Decide.Workloads[i].Effect})
-	}
-	r.edge = edge.New(edge.Options{Workloads: works, Margin: margin, LetGo: s.LetGo, StreamMost: streamMost, Engines: r.backend,
-		OneName: true, Log: log, Observe: r.figures})
+	r.edge = edge.New(edge.Options{Margin: margin, LetGo: s.LetGo, Engines: r.backend, OneName: true, Log: log, Observe: r.figures})
 	var machines []planner.Machine
 	for i, name := range s.Machines {
 		machines = append(machines, planner.Machine{Name: name, Role: s.Decide.Roles[i]})
@@ -139,9 +132,7 @@
 		kind = decide.ListFull
 	}
 	r.hand(l, kind)
-	if !r.listed.Swap(true) {
-		r.front.Ready()
-	}
+	r.front.Ready()
 }
 
 // hand hands a list to those who need it: addresses first, so that an engine is reached as soon as it is chosen.
@@ -209,7 +200,7 @@
 	stopTakes = 600 * time.Millisecond // from the signal; then calls are refused
 
 	// Where clients ask elsewhere for the rest of a stream, some more is taken on the connections that they have. The
-	// kill comes no sooner than the longest client timeout, or killWaits if that is longer, and killGrace.
+	// kill comes no sooner than the longest client timeout, killWaits at most, and killGrace.
 	killWaits = 3 * time.Second
 	killGrace = 700 * time.Millisecond
 	lastTakes = 2200 * time.Millisecond // before the kill; until then calls are taken
