What a failed release left is owed again when a dispatch stops its repeats

Cause: releaseOne's question before each try booked the debt only before the first one (sent), though it is asked again only after a try that failed. A release that failed, and was then stopped by a new dispatch, was never made again. Change: the debt is booked whenever a dispatch stops the repeats. The outer goroutine around releaseWhile is gone too: it starts its own, and a stop could look between the two. TestOneName plays it in virtual time and failed before.

--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -60,14 +60,12 @@
 	c.one.owes = false
 	c.one.frees++
 	h := &holding{address: c.one.at, id: c.r.Name}
-	sent := false
-	go c.e.releaseWhile(h, reason, func() bool {
+	c.e.releaseWhile(h, reason, func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.out > 0 && !sent {
+		if c.out > 0 { // asked before each try: none has let go yet
 			c.one.owes = true
 		}
-		sent = true
 		return c.out == 0
 	}, func() {
 		c.mu.Lock()
--- a/internal/edge/onename_test.go
+++ b/internal/edge/onename_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,7 @@
 	log   []string
 	read  func(ctx context.Context, call *engine.Call) decide.Outcome
 	holds func()
+	deaf  int // releases that fail first
 }
 
 func (o *oneNameEngines) note(what string) {
@@ -38,11 +40,15 @@
 
 func (o *oneNameEngines) Write(context.Context, context.CancelCauseFunc, *engine.Call, time.Duration) (Stream, *engine.Result) {
 	o.note("write")
+	time.Sleep(400 * time.Millisecond)
 	return nil, &engine.Result{Outcome: decide.Errored}
 }
 
 func (o *oneNameEngines) Release(_ context.Context, _, id string) error {
 	o.note("release " + id)
+	if o.deaf--; o.deaf >= 0 {
+		return context.DeadlineExceeded
+	}
 	return nil
 }
 
@@ -119,6 +125,14 @@
 				e.Order(link.Order{Kind: link.Release, Completion: 7})
 			}
 		}, []string{"read", "place", "release x", "release x"}},
+		"what a failed release left, after a dispatch that came between": {decide.Broken, 0, func(e *Edge, f link.Fact) {
+			switch {
+			case f.Kind == link.Take:
+				e.Order(dispatch(0, true))
+			case f.Kind == link.Ended && f.Dispatch == 0: // the edge's own release fails meanwhile
+				time.AfterFunc(310*time.Millisecond, func() { e.Order(dispatch(1, false)) })
+			}
+		}, []string{"read", "release x", "write", "release x"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -126,6 +140,9 @@
 					time.Sleep(10 * time.Millisecond)
 					return one.read
 				}, holds: func() { time.Sleep(one.holds) }}
+				if strings.HasPrefix(name, "what a failed release left") {
+					engines.deaf = 1
+				}
 				e := New(Options{Engines: engines, OneName: true, LetGo: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
 				e.Plan(&orders{e, one.do})
 				over := false
