An event that begins with a comment reaches the client

Cause: stream.More took a block that begins with a comment for nothing but a comment, and dropped the data lines behind it; the client's answer would have lacked an event. Change: only a block of one comment line is taken out. TestCommentInEvent failed before.

--- a/internal/platform/backend/backend_test.go
+++ b/internal/platform/backend/backend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -98,6 +100,38 @@
 	require.Zero(t, w.Held())
 }
 
+// TestCommentInEvent: an event that has a comment in it is an event, and a comment alone is none.
+func TestCommentInEvent(t *testing.T) {
+	near, far := net.Pipe()
+	event := ": X-Load: {\"queue\":7}\ndata: {\"choices\":[]}\n\n"
+	chunks := event + ": X-Load: {\"util\":0.25}\n\ndata: [DONE]\n\n"
+	go func() {
+		far.Read(make([]byte, 4096)) //nolint:errcheck // the head
+		far.Read(make([]byte, 4096)) //nolint:errcheck // the body
+		fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(chunks), chunks)
+	}()
+	c := New(Options{Columns: []string{"util"}, ConnectTimeout: time.Second, IdleConn: time.Second, MaxConns: 1,
+		Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+	t.Cleanup(c.Close)
+	c.Listed(true, []Engine{{"e", "any"}}, nil)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	s, bad := c.Write(ctx, cancel, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}")}, time.Second)
+	require.Nil(t, bad)
+	var got []string
+	for {
+		e, err := s.Next()
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF)
+			break
+		}
+		got = append(got, string(e.Raw))
+	}
+	require.Equal(t, []string{event, "data: [DONE]\n\n"}, got)
+	r := s.Close()
+	require.Equal(t, decide.Finished, r.Outcome)
+	require.Equal(t, []float64{0.25}, r.Report)
+}
+
 // TestReports: a report that can't be read tells nothing, and one that lacks a figure tells the others.
 func TestReports(t *testing.T) {
 	for text, want := range map[string][]float64{`{"util":0.5,"queue":2}`: {2, 0.5}, `{"util":1e999}`: nil, `[1]`: nil, `{"util":`: nil,
--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -121,7 +121,7 @@
 		if n < 0 {
 			return false
 		}
-		if rest[0] != ':' {
+		if rest[0] != ':' || bytes.IndexByte(rest[:n], '\n') >= 0 { // more than a comment
 			s.end = s.read + n + len(blank)
 			break
 		}
