--- a/cmd/cherryhub/run_test.go
+++ b/cmd/cherryhub/run_test.go
@@ -86,12 +86,14 @@
 				req.Header = http.Header{"X-Request-Id": {fmt.Sprintf("r%d-%d", n, i)}, "X-Class": {"chat"}, "X-Deadline": {"3000m"}}
 				resp, err := client.Do(req)
 				if err != nil {
+					t.Logf("call r%d-%d: %v", n, i, err)
 					bad.Add(1)
 					continue
 				}
 				body, err := io.ReadAll(resp.Body)
 				resp.Body.Close()
 				if err != nil || resp.StatusCode != 200 || !strings.HasSuffix(string(body), "data: [DONE]\n\n") {
+					t.Logf("call r%d-%d: status %d, %v, %.200s", n, i, resp.StatusCode, err, body)
 					bad.Add(1)
 				}
 				served.Add(1)
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -61,7 +61,8 @@
 	works   map[string]int
 	tenants map[string]int
 	ready   atomic.Bool
-	leaving atomic.Bool // connections are closed after their call
+	leaving atomic.Bool // answers say that their connection closes, and it does
+	left    atomic.Bool // every connection is closed after its call
 	closing atomic.Bool // nothing is taken
 	bodies  atomic.Int64
 	active  atomic.Int64    // calls whose first byte came and that are not answered
@@ -101,6 +102,7 @@
 // Leave has each connection closed after its call, those without one at once.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
+	s.left.Store(true) // before the room is looked through, as a call's end looks the other way about
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, more := s.room.oldest(s.room.idle); more; id, more = s.room.oldest(s.room.idle) {
@@ -218,7 +220,7 @@
 		s.mu.Lock()
 		s.room.over(id)
 		s.mu.Unlock()
-		if s.leaving.Load() {
+		if s.left.Load() {
 			return
 		}
 	}
@@ -480,7 +482,8 @@
 	return append(append(b, "\r\n"...), body...)
 }
 
-// Linger has answers say that their connection closes, so that clients go elsewhere.
+// Linger has answers say that their connection closes, so that clients go elsewhere. One whose last answer had begun
+// before and did not say so stays until Leave: closed at once it would cross the client's next call.
 func (s *Server) Linger() { s.leaving.Store(true) }
 
 // Counts are the calls for the rest of a stream, the answers of 4xx and those of 5xx so far.
