Under TLS only the door senses a client's leaving; Hertz read the same connection beside it

Cause: edge.New has Hertz sense disconnections. On its standard transport, which TLS needs, that is a read in a goroutine of its own while a call without a body is handled; hangUp (internal/edge/handler.go) reads the same connection on after it refused such a call. Both write the connection's buffer and error. Ruled out: calls with a body, for which Hertz does not do this, and netpoll, which senses without a read. Change: the sensing is off where the door does TLS. The door has told of leaving there all along (Door.WhenLeft); the test "a client that leaves is seen" stays as it was.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -177,7 +177,8 @@
 	if o.Door != nil {
 		options = append(options, server.WithListener(o.Door))
 		if o.Door.Secure() {
-			options = append(options, server.WithTransport(standard.NewTransporter))
+			// Hertz would sense a client's leaving by a read of its own, beside that of hangUp; the door senses it here.
+			options = append(options, server.WithTransport(standard.NewTransporter), server.WithSenseClientDisconnection(false))
 		} else {
 			options = append(options, server.WithOnAccept(func(conn net.Conn) context.Context {
 				o.Door.Prepared(conn)
