What would be read in place in another cell gets the reader near it, where that is better

Streams took 7.3 s where 5.0 s is usual. Checked by engine: the slow ones were not the crowded ones (12.0 s at 18 streams, 5.8 s at 24) but those that read in place: 16 to 27 thousand tokens in 5 s, half their time, under the streams they write; meanwhile one reader of the routers' cell had 39 reads and took 0.55 s each, a reader beside those engines had 3 and took 0.14 s. Ruled out: cold engines (same at age 23 s and 38 s), the router's own processor time (0.10 of its part). Cause, decide.go advance: the writer is picked first, nearly always in the router's zone; a reader outside that writer's cell is far, but an engine that reads in place is not, so what the near reader has no room for went in place elsewhere. Change: that engine is taken as the writer and a reader is picked anew for it; where that is a reader both hold, else the first pick does. The writer still comes first, and what is small is still read there. A test that fails without the change is in decide_test.go.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -575,6 +575,14 @@
 	var reader *engine
 	if c.writer = c.choose(false, c.toWrite); c.writer != nil && !c.crowded() {
 		reader = c.choose(true, c.toRead)
+		if w := c.writer; reader != nil && reader != w && reader.role != Reader && c.lacks(w) > localMost {
+			c.writer = reader // it would write there, too; a reader near it may be better still
+			if near := c.choose(true, c.toRead); near != nil && near.role == Reader {
+				reader = near
+			} else {
+				c.writer = w
+			}
+		}
 		if (r.reads || c.writer.role == Mixed) && (reader == nil || c.lacks(c.writer) <= localMost) {
 			reader = c.writer
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -439,6 +439,17 @@
 			assert.Contains(t, b.acts[0], want)
 		}
 	})
+	t.Run("what would be read in place elsewhere gets an idle reader near there, and a jammed one's cell is left", func(t *testing.T) {
+		for jam, want := range map[float64][]string{5e5: {"dispatch 1", "place 3"}, 0: {"dispatch 0", "place 2"}} {
+			r, b := start(t, func(s *Settings) { s.Places, s.FarPrice = true, 0.08 },
+				append(fleet()[:3:3], ready(3, 2, 1, longAgo)))
+			r.stages[2].pace = r.stages[0].pace
+			r.judge(r.engines[3], 1) // tips the choice of the writer
+			r.engines[0].load[work].out = jam
+			take(r, 1, 3000)
+			assert.Equal(t, want, b.flush())
+		}
+	})
 	t.Run("jammed readers are read around by mixed engines", func(t *testing.T) {
 		r, b := start(t, nil, []Fact{ready(0, 0, 0, longAgo), ready(2, 2, 0, longAgo)})
 		r.stages[2].pace = 1e-5
