--- a/decide/decide.go
+++ b/decide/decide.go
@@ -505,8 +505,8 @@
 		c.answer = math.Min(math.Min(answerMost, p.MaxAnswer), p.AnswerHint/c.w.TokenTarget)
 	}
 	if p.Again {
-		// Its value is mostly earned, so no bound but its time holds it back. It guards against streams lost where a
-		// router or an engine stops; it harms others while many come back at once, by a read each.
+		// Its value is mostly earned, so no bound but its time holds it back. It guards against streams lost
+		// where a router or an engine stops; it harms others while many come back at once, by a read each.
 		c.eager = math.Inf(1)
 	}
 	c.advance()
