What is held is let go by its own clock while a dispatch is still connecting

Ruled out: slow releases (none was asked before 2.812), late lists. Cause: completion.dispatch stopped the clock of what is held as soon as a dispatch began, ended() started it anew; a call counts only once its last byte has reached an engine. Change: the clock runs from when an engine last had to do with it and stops once the last byte of a dispatch is written; at the limit a dispatch that is still connecting is ended as unreachable and the planner hears that no state is left, whatever the outcome (decide: found 1). It also holds against places that are not answered; it harms a connection that comes up late, by a second read. Tests: TestHeldWhileConnecting, TestStateLetGoMeanwhile.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -849,6 +849,9 @@
 		found = math.Min(found, c.p.Len) // an engine counts tokens in its own way
 	}
 	d.broken, d.ran = o == Broken, o != Read && o != Full && o != Unreachable && o != Moot
+	if found == 1 && o != Read && o != Finished { // there was none to fetch, or it was let go meanwhile
+		c.state = nil
+	}
 	switch {
 	case o == Read:
 		r.measure(d, took)
@@ -862,8 +865,7 @@
 			r.learn(d.e, &c.p, d.claimed, found)
 		}
 		r.judge(d.e, 0)
-	case o == Full && found == 1:
-		c.state = nil // there was none to fetch
+	case o == Full && found == 1: // tells nothing of the engine
 	case o != Cancelled && o != Moot && !d.overdue: // else it tells nothing new of the engine
 		r.judge(d.e, 1)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -102,6 +102,36 @@
 	}
 }
 
+// TestStateLetGoMeanwhile: a dispatch that ends with the word that no state is left is followed by a new read, however
+// it ended, and an engine that could not be reached is held against.
+func TestStateLetGoMeanwhile(t *testing.T) {
+	for name, one := range map[string]struct {
+		o      Outcome
+		found  float64
+		reads  bool // what is next
+		blames bool
+	}{
+		"the state waits still":          {Unreachable, 0, false, true},
+		"let go while it was connecting": {Unreachable, 1, true, true},
+		"let go as it was given up":      {TimedOut, 1, true, true},
+		"the writer had none":            {Full, 1, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, fleet())
+			c := r.Take(1, prompt(0, 9000))
+			r.At(0.3)
+			c.Ended(0, Read, 0.3, false, 0, nil)
+			require.Len(t, b.sends, 2)
+			writer := r.engines[b.sends[1]]
+			r.At(0.55)
+			c.Ended(1, one.o, 0.25, false, one.found, nil)
+			require.Len(t, b.sends, 3)
+			require.Equal(t, one.reads, r.engines[b.sends[2]].role == Reader)
+			require.Equal(t, one.blames, r.fails(writer) > 0)
+		})
+	}
+}
+
 func TestEffects(t *testing.T) {
 	for name, c := range map[string]struct {
 		work    int
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -52,10 +52,21 @@
 	state  *holding      // that a write fetches
 	sent   chan struct{} // is closed once its last byte is written, or it ended
 	closed sync.Once
+	wrote  bool // its last byte is written; the completion's lock guards it, as the next
+	over   bool
 }
 
 func (r *run) wasSent() { r.closed.Do(func() { close(r.sent) }) }
 
+// wasWritten books that its last byte is written: what the completion holds is now in the engine's hands.
+func (r *run) wasWritten() {
+	r.c.mu.Lock()
+	r.wrote = true
+	r.c.armOne()
+	r.c.mu.Unlock()
+	r.wasSent()
+}
+
 // holding is a state or a place held at an engine under an id.
 type holding struct {
 	address, id string
@@ -130,7 +141,6 @@
 		c.place.used = true
 		c.place.timer.Stop()
 	}
-	c.one.stop()
 	c.mu.Unlock()
 	c.e.runs.Add(1)
 	timeout := time.Duration(o.Timeout * float64(time.Second))
@@ -147,7 +157,7 @@
 	if !c.e.o.OneName {
 		id += "-" + strconv.Itoa(r.n)
 	}
-	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Wrote: r.wasSent,
+	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Wrote: r.wasWritten,
 		Heard: func(report []float64) {
 			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
@@ -163,7 +173,7 @@
 	switch {
 	case c.e.o.OneName:
 		if mayRun(result.Outcome) {
-			c.owe(r.engine)
+			c.owe(r.engine, true)
 		}
 	case result.Outcome == decide.Read:
 		c.hold(&holding{address: r.engine, id: call.ID, params: result.State})
@@ -231,13 +241,19 @@
 	r.cancel(engine.ErrCancelled)
 	r.wasSent()
 	c.e.o.Observe.Dispatched(r.reads, result.Outcome, took)
+	c.mu.Lock()
+	r.over = true
+	c.out--
+	if c.endOne(r, result.Outcome) && result.Outcome != decide.Read {
+		result.Found = 1 // no state is left
+	}
+	c.mu.Unlock()
 	c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: result.Outcome, Took: took.Seconds(),
 		Done: result.Done, Found: result.Found, Report: result.Report})
 	c.mu.Lock()
-	if c.out--; c.out == 0 && c.place != nil {
+	if c.out == 0 && c.place != nil {
 		c.arm(c.place)
 	}
-	c.armOne()
 	c.mu.Unlock()
 	c.settle()
 	c.e.runs.Add(-1)
--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"cherryhub/decide"
+	"cherryhub/internal/engine"
 	"cherryhub/internal/link"
 )
 
@@ -11,9 +14,14 @@
 // reads whose end is not known too. One release lets go of all, wherever it is, so it is never sent while a
 // dispatch is out that may need what is held: it guards against a late release that takes a second read's state.
 // It harms where an engine's hold would end sooner by a release of its own. The completion's lock guards it.
+//
+// The time of what is held runs from when an engine last had to do with it. A dispatch stops it only once its last
+// byte is written: one whose connection does not come up has reached nobody, and several after another would hold a
+// state past its limit. It harms one whose connection comes up late, by a second read.
 type oneName struct {
-	owes   bool   // something may be held
-	at     string // the engine that was last heard of in this
+	owes   bool      // something may be held
+	at     string    // the engine that was last heard of in this
+	since  time.Time // when an engine last had to do with it
 	timer  *time.Timer
 	asking int // places that are being asked for
 	frees  int // releases that run
@@ -29,30 +37,59 @@
 	}
 }
 
-// owe books that something may be held.
-func (c *completion) owe(address string) {
+// owe books that something may be held. heard: the engine has said so just now, or the first of it is to come.
+func (c *completion) owe(address string, heard bool) {
 	c.mu.Lock()
+	if heard || !c.one.owes {
+		c.one.since = time.Now()
+	}
 	c.one.owes, c.one.at = true, address
 	c.armOne()
 	c.mu.Unlock()
 }
 
-// armOne lets go before the limit where nothing is out and no order comes, as arm does. It is called with the lock.
+// armOne lets go before the limit where no dispatch has reached an engine and no order comes, as arm does. A dispatch
+// that is still connecting is ended first. It is called with the lock.
 func (c *completion) armOne() {
 	c.one.stop()
-	if c.out > 0 || !c.one.owes {
+	if !c.one.owes || c.reached() {
 		return
 	}
-	c.one.timer = time.AfterFunc(c.e.ownLetGo(), func() {
+	c.one.timer = time.AfterFunc(time.Until(c.one.since.Add(c.e.ownLetGo())), func() {
 		c.mu.Lock()
-		if c.out == 0 && c.one.owes {
+		switch {
+		case !c.one.owes || c.reached():
+		case c.out == 0:
 			c.releaseOne("limit")
+		default: // its end lets go
+			for _, r := range c.runs {
+				r.cancel(engine.ErrHeld)
+			}
 		}
 		c.mu.Unlock()
 		c.settle()
 	})
 }
 
+// reached tells whether a dispatch that is out was written to its last byte. It is called with the lock.
+func (c *completion) reached() bool {
+	return slices.ContainsFunc(c.runs, func(r *run) bool { return r.wrote && !r.over })
+}
+
+// endOne books a dispatch's end, and tells whether what was held is let go with it. One that was given up has perhaps
+// reached nobody: the time runs on from before it. It is called with the lock.
+func (c *completion) endOne(r *run, o decide.Outcome) bool {
+	if r.wrote && o != decide.TimedOut && o != decide.Cancelled {
+		c.one.since = time.Now()
+	}
+	if c.one.owes && c.out == 0 && time.Since(c.one.since) >= c.e.ownLetGo() {
+		c.releaseOne("limit")
+		return true
+	}
+	c.armOne()
+	return false
+}
+
 // releaseOne lets go of all; it is called with the lock, and nothing out. A dispatch that is sent meanwhile ends
 // its repeats, and what was not let go is owed again.
 func (c *completion) releaseOne(reason string) {
@@ -63,10 +100,11 @@
 	c.e.releaseWhile(h, reason, func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.out > 0 { // asked before each try: none has let go yet
+		reached := c.reached()
+		if reached { // asked before each try: none has let go yet
 			c.one.owes = true
 		}
-		return c.out == 0
+		return !reached
 	}, func() {
 		c.mu.Lock()
 		c.one.frees--
@@ -101,9 +139,9 @@
 			}
 		}
 		if asked {
-			c.owe(o.Engine)
+			c.owe(o.Engine, true)
 			held, err := c.e.o.Engines.Hold(ctx, o.Engine, c.r.Name, c.r.Prompt.Len, c.e.ownLetGo())
-			c.owe(o.Engine) // an answer may have crossed a release
+			c.owe(o.Engine, err == nil) // an answer may have crossed a release
 			if err == nil {
 				c.e.planner.Tell(link.Fact{Kind: link.Placed, Completion: c.id, Dispatch: o.Dispatch, Held: held})
 			} else {
--- a/internal/edge/onename_test.go
+++ b/internal/edge/onename_test.go
@@ -21,6 +21,7 @@
 	mu    sync.Mutex
 	log   []string
 	read  func(ctx context.Context, call *engine.Call) decide.Outcome
+	write func(ctx context.Context, call *engine.Call) decide.Outcome // nil: it takes its time and fails
 	holds func()
 	deaf  int // releases that fail first
 }
@@ -38,8 +39,11 @@
 	return &engine.Result{Outcome: o.read(ctx, call)}
 }
 
-func (o *oneNameEngines) Write(context.Context, context.CancelCauseFunc, *engine.Call, time.Duration) (Stream, *engine.Result) {
+func (o *oneNameEngines) Write(ctx context.Context, _ context.CancelCauseFunc, call *engine.Call, _ time.Duration) (Stream, *engine.Result) {
 	o.note("write")
+	if o.write != nil {
+		return nil, &engine.Result{Outcome: o.write(ctx, call)}
+	}
 	time.Sleep(400 * time.Millisecond)
 	return nil, &engine.Result{Outcome: decide.Errored}
 }
@@ -159,3 +163,63 @@
 		})
 	}
 }
+
+// TestHeldWhileConnecting: writes whose connections don't come up don't stop the clock of a state that waits, one after
+// another; the one that is out at the limit is ended and the planner is told that no state is left. A write that was
+// written stops it.
+func TestHeldWhileConnecting(t *testing.T) {
+	const limit = 500 * time.Millisecond
+	for name, one := range map[string]struct {
+		write func(ctx context.Context, call *engine.Call) decide.Outcome
+		last  decide.Outcome // of the write that is out at the limit, or that takes the state
+		found float64
+		most  time.Duration // from the read's end to the release
+	}{
+		"none comes up": {func(ctx context.Context, _ *engine.Call) decide.Outcome {
+			select {
+			case <-ctx.Done():
+				return engine.OutcomeOf(ctx, ctx.Err(), false)
+			case <-time.After(limit / 4):
+				return decide.Unreachable
+			}
+		}, decide.Unreachable, 1, limit},
+		"one is written, and waits": {func(_ context.Context, call *engine.Call) decide.Outcome {
+			call.Wrote()
+			time.Sleep(2 * limit)
+			return decide.Errored
+		}, decide.Errored, 0, 3 * limit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var read time.Time
+				engines := &oneNameEngines{write: one.write, read: func(context.Context, *engine.Call) decide.Outcome {
+					read = time.Now()
+					return decide.Read
+				}}
+				e := New(Options{Engines: engines, OneName: true, LetGo: limit, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
+				var last link.Fact
+				e.Plan(&orders{e, func(e *Edge, f link.Fact) {
+					switch {
+					case f.Kind == link.Take:
+						e.Order(link.Order{Kind: link.Dispatch, Completion: 7, Engine: "a", Reads: true, Timeout: 5})
+					case f.Kind == link.Ended && (f.Dispatch == 0 || f.Outcome == decide.Unreachable && f.Found == 0):
+						e.Order(link.Order{Kind: link.Dispatch, Completion: 7, Dispatch: f.Dispatch + 1, Engine: "b", Timeout: 5})
+					case f.Kind == link.Ended:
+						last = f
+						e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
+						e.Order(link.Order{Kind: link.Release, Completion: 7})
+					}
+				}})
+				n := nobody{make(chan string, 1)}
+				_, taken := e.Take(context.Background(), &Request{ID: 7, Name: "x", Arrived: time.Now(), Timeout: 5 * time.Second,
+					Whole: 5 * time.Second, Body: func(bool, []byte) []byte { return nil }, Over: func() {}}, n)
+				require.True(t, taken)
+				synctest.Wait()
+				require.Less(t, time.Since(read), one.most)
+				require.Equal(t, one.last, last.Outcome)
+				require.InDelta(t, one.found, last.Found, 0)
+				require.Contains(t, engines.log, "release x")
+			})
+		})
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,7 @@
 	ErrCancelled = errors.New("cancelled")
 	ErrTimedOut  = errors.New("timed out")
 	ErrIdle      = errors.New("no token within the stream's idle time")
+	ErrHeld      = errors.New("not connected while the state may be held") // of one whose last byte was not written
 )
 
 // ErrMalformed is an answer that the protocol doesn't allow.
@@ -207,6 +208,8 @@
 	switch cause := context.Cause(ctx); {
 	case errors.Is(cause, ErrTimedOut), errors.Is(cause, ErrIdle), errors.Is(cause, context.DeadlineExceeded):
 		return decide.TimedOut
+	case errors.Is(cause, ErrHeld) && !sent:
+		return decide.Unreachable
 	case cause != nil:
 		return decide.Cancelled
 	}
