A tenant's share at a router allows for chance and for the router's own part of the traffic

A trial that logs why shows 985 of 990 at the bound of send, with 'eager 0.76' (0.72) throughout, such as 'sent 0 stage 2 expected 0.81 ... eager 0.76 target 1.66': every completion counted as beyond its tenant's share. Ruled out: crowded and cold (no give-up by either). Cause: New gives a router 1/300 of a tenant's rate and bursts of 2 s of it, less than one completion, so that the bucket in rankOf never held one; and a router that gets several times the mean took each of its tenants for one beyond its share. Change: a bucket holds what chance adds (n + 2 root n + 2, as the operators count chance); where a router gets more than all shares allow the mean router, the shares grow alike.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,7 @@
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	readMost    = 0.6    // latency targets; a longer read, and write, is rate-limited: times vary by half
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
-	shareBurst  = 2.0    // seconds of its share that a tenant may send at once
+	shareBurst  = 2.0    // seconds of its share that a tenant may send at once, and what chance adds to that
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
 	probeAge    = 0.3    // seconds; an engine that would be picked is probed when its report is older
 	probeWait   = 0.05   // seconds that a completion waits for probes: many round trips
@@ -125,6 +125,9 @@
 
 type tenant struct{ rate, bucket, at float64 }
 
+// chanceOver is how many may come by chance, in a short time, where n are to be expected.
+func chanceOver(n float64) float64 { return n + 2*math.Sqrt(n) + 2 }
+
 type Router struct {
 	do               Actions
 	now, tick        float64
@@ -148,6 +151,8 @@
 	pools   [3]pool      // by role
 	stages  [3]stage
 	tenants []tenant
+	shares  float64 // completions a second that all tenants' shares allow at a router, on average
+	taken   meter
 }
 
 // New makes a router from its settings.
@@ -172,7 +177,8 @@
 	}
 	for _, t := range s.Tenants {
 		rate := t.Rate / (r.others + 1)
-		r.tenants = append(r.tenants, tenant{rate: rate, bucket: rate * shareBurst})
+		r.tenants = append(r.tenants, tenant{rate: rate, bucket: chanceOver(rate * shareBurst)})
+		r.shares += rate
 	}
 	if s.ListAsked {
 		r.do.Watch()
@@ -513,12 +519,17 @@
 	return c
 }
 
-// rankOf is a completion's value for its work against the greatest, less beyond its tenant's share.
+// rankOf is a completion's value for its work against the greatest, less beyond its tenant's share. Where a router
+// gets more than all shares allow the mean router, the shares grow alike: it can't tell whether all get so much or
+// only it, and of the first no tenant is more to blame than another. It guards against a tenant that sends far more
+// than its share; it harms where a router's clients are nearly all of one tenant.
 func (r *Router) rankOf(p *Prompt) float64 {
 	rank := r.works[p.Workload].Value / math.Max(r.greatest, 1e-9)
+	r.taken.add(r.now, 1)
 	if p.Tenant < len(r.tenants) {
 		t := &r.tenants[p.Tenant]
-		t.bucket = math.Min(t.rate*shareBurst, t.bucket+(r.now-t.at)*t.rate)
+		rate := t.rate * math.Max(1, r.taken.now(r.now)/math.Max(r.shares, 1e-9))
+		t.bucket = math.Min(chanceOver(rate*shareBurst), t.bucket+(r.now-t.at)*rate)
 		t.at = r.now
 		if t.bucket < 1 {
 			return rank * r.over
