A part of a dispatch to a cold engine is a lot that each completion draws

Cause (one of two): cold gave each router its part of a dispatch by a lot a half window, 0.02 of one, which lapses unless a completion comes that wants just that engine just then. Change: the part of a dispatch is drawn by each completion, the same at each of its dispatches, at a chance that all completions of the fleet together make up the budget; 0.7 of it, since chance comes on top. Whole dispatches are counted as before. New engines still get 0.0 to 0.3 reads a second: looked into next.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,6 +67,7 @@
 	probeAge    = 0.3    // seconds; an engine that would be picked is probed when its report is older
 	probeWait   = 0.05   // seconds that a completion waits for probes: many round trips
 	coldPart    = 0.5    // share of a window's cold budget for half of it: chance and heavy work move it by half
+	coldLots    = 0.7    // share of that which is given by lots: its chance comes on top of the work's
 	coldLeast   = 1.0    // dispatches a second, all routers: an engine's typical rate is held to be no less
 	watchAgain  = 1.0    // seconds between tries to get the list where it must be asked
 	answerGuess = 0.4    // share of the most it may produce that an answer without a hint is taken for
@@ -131,7 +132,7 @@
 type Router struct {
 	do               Actions
 	now, tick        float64
-	rng              uint64
+	rng, nonce       uint64
 	others, greatest float64 // how many other routers there are; the greatest value of the workloads
 	works            []Workload
 	columns          [4]int // where a report has queue, util, x0, x1
@@ -161,8 +162,8 @@
 		return nil, errors.New("settings: no workloads, or no roles of the machine kinds")
 	}
 	guess := stage{paceGuess, pacesGuess, lateGuess}
-	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, others: math.Max(0, float64(s.Routers-1)),
-		works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick, over: s.OverShare,
+	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, nonce: s.Seed,
+		others: math.Max(0, float64(s.Routers-1)), works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick, over: s.OverShare,
 		most: cmp.Or(s.MaxDispatches, dispatches), back: math.Min(s.MaxComeBack, comeBack),
 		reads: s.WritersRead, places: s.Places, cancels: s.Cancels, probes: s.Probes && len(s.Columns) > 0,
 		far: closeLeast + closeTokens*s.FarPrice, away: closeLeast + 2*closeTokens*s.CrossPrice,
@@ -431,19 +432,25 @@
 	}
 }
 
-// cold is the cold budget: in each half window a started engine takes this router's part of the multiple
-// times its share of the typical rate, parts of a dispatch by chance; what is not used lapses, lest hundreds
-// of routers save up for one moment. It guards the rule; it harms where the rest of the fleet is full.
-func (r *Router) cold(e *engine) bool {
+// cold tells whether the cold budget bars a completion from a started engine. In each half window the engine
+// takes this router's part of the multiple times its share of the typical rate. A part of a dispatch, all that
+// one of hundreds of routers has, is a lot that each completion draws: by time it would lapse wherever none comes
+// just then. It guards the rule, as chance adds no more than 2 roots to what all lots allow; it harms where the
+// rest of the fleet is full.
+func (c *Completion) cold(e *engine) bool {
+	r := c.r
 	age := math.Max(0, r.now-e.started) / r.warm
 	if !(age < 1) || r.window <= 0 {
 		return false
 	}
+	size := math.Max(1, e.pool.size)
+	rate := math.Max(coldLeast/(r.others+1), e.pool.rate.now(r.now)/size)
+	allowed := coldPart * r.budget * (r.share + (1-r.share)*age) * rate
 	if r.now >= e.coldAt+r.window/2 {
-		rate := math.Max(coldLeast/(r.others+1), e.pool.rate.now(r.now)/math.Max(1, e.pool.size))
-		e.coldAt, e.coldLeft = r.now, math.Floor(coldPart*r.budget*(r.share+(1-r.share)*age)*rate+r.chance())
+		e.coldAt, e.coldLeft = r.now, math.Floor(allowed)
 	}
-	return e.coldLeft < 1
+	comes := rate * size * r.window / 2
+	return e.coldLeft < 1 && draw(c.id+r.nonce, e.mark) >= coldLots*(allowed-math.Floor(allowed))/comes
 }
 
 // canRead tells whether an engine may read for the fleet: not a writer, unless half its memory is known to be
@@ -458,7 +465,7 @@
 	var best *engine
 	r, least := c.r, math.Inf(1)
 	for _, e := range r.engines {
-		if e.phase != Ready || !reads && e.role == Reader || reads && !r.canRead(e) || !c.maySend(e) || r.cold(e) {
+		if e.phase != Ready || !reads && e.role == Reader || reads && !r.canRead(e) || !c.maySend(e) || c.cold(e) {
 			continue
 		}
 		uncached, far := cost(e)
@@ -519,10 +526,10 @@
 	return c
 }
 
-// rankOf is a completion's value for its work against the greatest, less beyond its tenant's share. Where a router
-// gets more than all shares allow the mean router, the shares grow alike: it can't tell whether all get so much or
-// only it, and of the first no tenant is more to blame than another. It guards against a tenant that sends far more
-// than its share; it harms where a router's clients are nearly all of one tenant.
+// rankOf is a completion's value for its work against the greatest, less beyond its tenant's share. Where a
+// router gets more than all shares allow the mean router, the shares grow alike: it can't tell whether all get so
+// much or only it, and of the first no tenant is more to blame than another. It guards against a tenant that
+// sends far more than its share; it harms where a router's clients are nearly all of one tenant.
 func (r *Router) rankOf(p *Prompt) float64 {
 	rank := r.works[p.Workload].Value / math.Max(r.greatest, 1e-9)
 	r.taken.add(r.now, 1)
@@ -710,7 +717,7 @@
 // write sends a completion whose state waits to its writer, or to a better one if that has gone ill.
 func (c *Completion) write() {
 	r, w := c.r, c.writer
-	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.maySend(w) || r.cold(w) {
+	if w == nil || w.phase != Ready || r.fails(w) > ill || c.tried(w) || !c.maySend(w) || c.cold(w) {
 		c.writer = c.choose(false, func(e *engine) (float64, float64) {
 			return 0, r.far * part(e.cell != c.state.cell)
 		})
