The mean tokens of a read are learnt from the first read on

Ruled out: util, which at readers tells next to nothing of the time. Cause: r.read began at localMost and moved by 0.02 a read; one of 300 routers sees ten reads in a minute. Change: the n-th read counts 1/n until that is paceLeast.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -139,7 +139,8 @@
 	roles            []Role // by machine kind, as is memory
 	memory           []float64
 	zone, most       int     // most: dispatches a completion
-	back, over, read float64 // first come-back time; what is left of value beyond a share; mean tokens of a read
+	back, over       float64 // first come-back time; what is left of value beyond a share
+	read, readsSeen  float64 // mean tokens of a read, and how many were seen
 
 	reads, places, cancels, probes bool // what is allowed: that writers read, ...
 
@@ -873,7 +874,8 @@
 	switch {
 	case o == Read:
 		r.measure(d, took)
-		r.read += paceLeast * (c.p.Len - math.Max(found, 0) - r.read)
+		r.readsSeen++ // the first counts whole: one of hundreds of routers sees ten in a minute
+		r.read += math.Max(paceLeast, 1/r.readsSeen) * (c.p.Len - math.Max(found, 0) - r.read)
 		r.learn(d.e, &c.p, d.claimed, found)
 		c.state, c.holds = d.e, true
 		d.e.pool.rate.add(r.now, 1)
