Work and not number counts against a cold engine's budget

Cause: the budget counts dispatches, the rule work: what is read nowhere yet loses nothing by a cold engine, so that the longest uncached prompts are drawn to it. Change: a dispatch counts by what is read there in mean reads, one at least, in lots as in whole dispatches.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -163,8 +163,9 @@
 		return nil, errors.New("settings: no workloads, or no roles of the machine kinds")
 	}
 	guess := stage{paceGuess, pacesGuess, lateGuess}
-	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, nonce: s.Seed,
-		others: math.Max(0, float64(s.Routers-1)), works: s.Workloads, roles: s.Roles, memory: s.Memory, zone: s.Zone, tick: s.Tick, over: s.OverShare,
+	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, nonce: s.Seed, over: s.OverShare, tick: s.Tick,
+		others: math.Max(0, float64(s.Routers-1)), works: s.Workloads, roles: s.Roles, memory: s.Memory,
+		zone: s.Zone,
 		most: cmp.Or(s.MaxDispatches, dispatches), back: math.Min(s.MaxComeBack, comeBack),
 		reads: s.WritersRead, places: s.Places, cancels: s.Cancels, probes: s.Probes && len(s.Columns) > 0,
 		far: closeLeast + closeTokens*s.FarPrice, away: closeLeast + 2*closeTokens*s.CrossPrice,
@@ -434,10 +435,10 @@
 }
 
 // cold tells whether the cold budget bars a completion from a started engine. In each half window the engine
-// takes this router's part of the multiple times its share of the typical rate. A part of a dispatch, all that
-// one of hundreds of routers has, is a lot that each completion draws: by time it would lapse wherever none comes
-// just then. It guards the rule, as chance adds no more than 2 roots to what all lots allow; it harms where the
-// rest of the fleet is full.
+// takes this router's part of the multiple times its share of the typical rate, in dispatches of mean work. A
+// part of a dispatch, all that one of hundreds of routers has, is a lot that each completion draws: by time
+// it would lapse wherever none comes just then. It guards the rule, as chance adds no more than 2 roots to
+// what all lots allow; it harms where the rest of the fleet is full.
 func (c *Completion) cold(e *engine) bool {
 	r := c.r
 	age := math.Max(0, r.now-e.started) / r.warm
@@ -450,8 +451,13 @@
 	if r.now >= e.coldAt+r.window/2 {
 		e.coldAt, e.coldLeft = r.now, math.Floor(allowed)
 	}
-	comes := rate * size * r.window / 2
-	return e.coldLeft < 1 && draw(c.id+r.nonce, e.mark) >= coldLots*(allowed-math.Floor(allowed))/comes
+	lots := coldLots * (allowed - math.Floor(allowed)) / (rate * size * r.window / 2)
+	return e.coldLeft < 1 && draw(c.id+r.nonce, e.mark) >= lots/c.weight(e)
+}
+
+// weight is the work of a dispatch to an engine in dispatches of mean work: what is read there in mean reads.
+func (c *Completion) weight(e *engine) float64 {
+	return math.Max(1, c.lacks(e)*part(c.state == nil)/math.Max(localMost, c.r.read))
 }
 
 // canRead tells whether an engine may read for the fleet: not a writer, unless half its memory is known to be
@@ -528,9 +534,9 @@
 }
 
 // rankOf is a completion's value for its work against the greatest, less beyond its tenant's share. Where a
-// router gets more than all shares allow the mean router, the shares grow alike: it can't tell whether all get so
-// much or only it, and of the first no tenant is more to blame than another. It guards against a tenant that
-// sends far more than its share; it harms where a router's clients are nearly all of one tenant.
+// router gets more than all shares allow the mean router, the shares grow alike: it can't tell whether all
+// get so much or only it, and of the first no tenant is more to blame than another. It guards against a
+// tenant that sends far more than its share; it harms where a router's clients are nearly all of one tenant.
 func (r *Router) rankOf(p *Prompt) float64 {
 	rank := r.works[p.Workload].Value / math.Max(r.greatest, 1e-9)
 	r.taken.add(r.now, 1)
@@ -749,7 +755,7 @@
 		return
 	}
 	d.late = r.now + math.Max(lateFloor, expected*g.late)
-	e.coldLeft--
+	e.coldLeft -= c.weight(e)
 	c.sent, c.out = append(c.sent, d), d
 	r.carry(e, d.tokens, d.held)
 	r.do.Dispatch(c.id, e.id, c.deadline-r.now)
