--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -102,6 +103,85 @@
 	}
 }
 
+// TestShareOfOneOfManyRouters: what a tenant sends within its share counts in full at a router that gets a small part
+// of it, and at one that gets several times the mean; what it sends beyond that does not.
+func TestShareOfOneOfManyRouters(t *testing.T) {
+	for name, one := range map[string]struct {
+		rates  [2]float64 // completions a second of two tenants, at this router; the share is 0.1 each
+		within [2]bool
+	}{
+		"the mean router":             {[2]float64{0.1, 0.1}, [2]bool{true, true}},
+		"one that gets ten times it":  {[2]float64{1, 1}, [2]bool{true, true}},
+		"a tenant far over its share": {[2]float64{10, 0.1}, [2]bool{false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := start(t, func(s *Settings) {
+				s.Routers, s.OverShare, s.Tenants = 300, 0.2, []Tenant{{Rate: 30}, {Rate: 30}}
+			}, fleet())
+			rnd := rand.New(rand.NewSource(5))
+			sent, over := [2]float64{}, [2]float64{}
+			for i := range 60000 {
+				r.At(float64(i) / 100)
+				for k, rate := range one.rates {
+					if rnd.Float64() < rate/100 {
+						sent[k]++
+						over[k] += part(r.rankOf(&Prompt{Tenant: k}) < 1)
+					}
+				}
+			}
+			for k := range over {
+				if one.within[k] {
+					assert.Less(t, over[k], 0.1*sent[k], "tenant %d", k)
+				} else {
+					assert.Greater(t, over[k], 0.3*sent[k], "tenant %d", k)
+				}
+			}
+		})
+	}
+}
+
+// TestReadsLearntAtOnce: what waits at an engine that tells its queue is taken for as many mean reads, after one read
+// as after hundreds.
+func TestReadsLearntAtOnce(t *testing.T) {
+	r, _ := start(t, func(s *Settings) { s.Routers, s.Columns = 300, []string{"queue"} }, fleet())
+	for id := range uint64(2) {
+		r.Take(id, prompt(0, 3000)).Ended(0, Read, 0.2, false, 1000, []float64{4 * float64(id)})
+	}
+	assert.InDelta(t, 4*2000, r.engines[0].load[work].report+r.engines[1].load[work].report, 1)
+	for i := range 300 {
+		c := r.Take(uint64(i+2), prompt(0, 3000))
+		c.Ended(0, Read, 0.2, false, 1500, nil)
+	}
+	assert.InDelta(t, 1500, r.read, 50)
+}
+
+// TestHeavyDispatchesToColdEngines: a dispatch that reads as much as several mean ones takes as much of the budget.
+func TestHeavyDispatchesToColdEngines(t *testing.T) {
+	for name, routers := range map[string]int{"by count": 2, "by lots": 300} {
+		t.Run(name, func(t *testing.T) {
+			sent := map[float64]int{}
+			for _, tokens := range []float64{1000, 4000} {
+				r, b := start(t, func(s *Settings) { s.Routers = routers }, []Fact{ready(0, 0, 0, longAgo), ready(1, 0, 1, 0), ready(2, 1, 0, longAgo)})
+				r.read, r.readsSeen = 1000, 1000
+				for i := range 900 {
+					r.At(float64(i) / 100)
+					r.pools[Reader].rate = meter{100, r.now}
+					r.engines[0].load[work].out = 1e6 // the cold one is wanted by all
+					p := prompt(0, tokens)
+					p.Session = uint64(i + 1)
+					c := r.Take(uint64(i), p)
+					c.Left()
+					c.Ended(0, Cancelled, 0, true, 0, nil)
+				}
+				for _, e := range b.sends {
+					sent[tokens] += int(part(e == 1))
+				}
+			}
+			assert.InEpsilon(t, float64(sent[1000])/4, float64(sent[4000]), 0.35, "%v", sent)
+		})
+	}
+}
+
 // TestStateLetGoMeanwhile: a dispatch that ends with the word that no state is left is followed by a new read, however
 // it ended, and an engine that could not be reached is held against.
 func TestStateLetGoMeanwhile(t *testing.T) {
