Far away distance has no price, and what is near stays unless it is slower

Change: no price at all in the second pick; it stands only where it is expected to be faster than the near one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,7 +62,6 @@
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	readMost    = 0.6    // latency targets; a longer read, and write, is rate-limited: times vary by half
 	nearMost    = 0.15   // latency targets; what would take longer near goes wherever it is served
-	nearAtAll   = 0.03   // share of the price of distance that is left then, so that ties go to what is near
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once, and what chance adds to that
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
@@ -611,17 +610,32 @@
 	r.survey()
 	c.settle()
 	// Distance has a price, a part of a completion's value; being late costs most of it. It guards against traffic
-	// that shifts to one zone; where all are full it harms, by moves.
+	// that shifts to one zone; where all are full it harms, by moves. No part of the price is left then: where little
+	// is known of the engines, all routers would follow the least of it.
+	var near, beside *engine
 	for c.anywhere = false; ; c.anywhere = true {
 		reader := c.pick()
 		if c.asks(reader) {
 			return
 		}
+		if c.anywhere && near != nil && c.expected(near) <= c.expected(reader) { // no faster there
+			reader, c.writer = near, beside
+		}
 		if c.anywhere || c.fits(reader, nearMost) {
 			c.send(reader)
 			return
 		}
+		near, beside = reader, c.writer
+	}
+}
+
+// expected is the time that a dispatch to an engine is expected to take.
+func (c *Completion) expected(e *engine) float64 {
+	if e == nil {
+		return math.Inf(1)
 	}
+	_, took := c.dispatchTo(e)
+	return took
 }
 
 // pick picks the writer, and the engine that is to read for it: the writer itself for a small remainder.
@@ -652,22 +666,14 @@
 }
 
 func (c *Completion) toWrite(e *engine) (uncached, far float64) {
-	return math.Min(remoteMost, c.lacks(e)), c.r.away*c.distance()*part(e.zone != c.r.zone) +
+	return math.Min(remoteMost, c.lacks(e)), c.r.away*part(e.zone != c.r.zone && !c.anywhere) +
 		(1-e.pool.sample())*remoteMost*part(e != c.ownHome)
 }
 
-// distance is the share of the price of distance that counts.
-func (c *Completion) distance() float64 {
-	if c.anywhere {
-		return nearAtAll
-	}
-	return 1
-}
-
 func (c *Completion) toRead(e *engine) (uncached, far float64) {
-	if w, alike := c.writer, e.pool.sample(); w != nil && e.role == Reader {
+	if w, alike := c.writer, e.pool.sample(); w != nil && e.role == Reader && !c.anywhere {
 		far = c.r.far*part(e.cell != w.cell) + c.r.farZone*part(e.zone != w.zone)
-		far *= c.distance() * (alike + unsure*(1-alike)*part(e != c.home || w != c.ownHome))
+		far *= alike + unsure*(1-alike)*part(e != c.home || w != c.ownHome)
 	}
 	return c.lacks(e), far
 }
