--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -434,6 +434,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), e.o.LetGo/3)
 			err := e.o.Engines.Release(ctx, h.address, h.id)
 			cancel()
+			e.o.Log.Debug("released", "id", h.id, "engine", h.address, "reason", reason, "seconds", time.Since(began).Seconds(), "err", err)
 			if err == nil {
 				return
 			}
--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -47,6 +47,7 @@
 		c.one.since = time.Now()
 	}
 	c.one.owes, c.one.at = true, address
+	c.e.o.Log.Debug("may be held", "completion", c.r.Name, "engine", address, "heard", heard)
 	c.armOne()
 	c.mu.Unlock()
 }
@@ -112,6 +113,7 @@
 	}
 	c.mu.Lock()
 	r.reached = true
+	c.e.o.Log.Debug("engine runs", "completion", c.r.Name, "engine", r.engine)
 	c.armOne()
 	c.mu.Unlock()
 }
