A place that nobody needs any more is let go at once, also where the answer to its call is lost

Change: where the call's end leaves open what is held, its time runs from the call's beginning; the call is cut off once its completion is over, and all is let go again. It harms a call that was just about to be granted, which nobody needs. Measured: TestOneName's new case fails without it.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -187,7 +187,7 @@
 	switch {
 	case c.e.o.OneName:
 		if mayRun(result.Outcome) {
-			c.owe(r.engine, true)
+			c.owe(r.engine, time.Now(), true)
 		}
 	case result.Outcome == decide.Read:
 		c.hold(&holding{address: r.engine, id: call.ID, params: result.State})
@@ -291,6 +291,9 @@
 func (c *completion) settle() {
 	c.mu.Lock()
 	over := c.handled && c.out == 0 && c.state == nil && c.place == nil
+	if over && c.one.cut != nil { // nobody needs a place any more, and the answer to the call may never come
+		c.one.cut()
+	}
 	if over && c.one.owes {
 		c.releaseOne("over")
 	}
--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -26,8 +26,9 @@
 	since  time.Time // when an engine last had to do with it
 	lost   bool      // it was let go while a write was out, which has not ended
 	timer  *time.Timer
-	asking int // places that are being asked for
-	frees  int // releases that run
+	asking int                // places that are being asked for
+	cut    context.CancelFunc // ends the last of these calls
+	frees  int                // releases that run
 }
 
 // open tells whether the completion must still be known for it.
@@ -40,14 +41,14 @@
 	}
 }
 
-// owe books that something may be held. heard: the engine has said so just now, or the first of it is to come.
-func (c *completion) owe(address string, heard bool) {
+// owe books that something may be held since a time. now: an engine has said so, and all that is held counts from then.
+func (c *completion) owe(address string, since time.Time, now bool) {
 	c.mu.Lock()
-	if heard || !c.one.owes {
-		c.one.since = time.Now()
+	if now || !c.one.owes {
+		c.one.since = since
 	}
 	c.one.owes, c.one.at = true, address
-	c.e.o.Log.Debug("may be held", "completion", c.r.Name, "engine", address, "heard", heard)
+	c.e.o.Log.Debug("may be held", "completion", c.r.Name, "engine", address, "now", now)
 	c.armOne()
 	c.mu.Unlock()
 }
@@ -174,11 +175,12 @@
 		read = c.runs[n-1]
 	}
 	c.one.asking++
+	ctx, cancel := context.WithTimeout(c.e.base, time.Second)
+	c.one.cut = cancel
 	c.mu.Unlock()
 	c.e.runs.Add(1)
 	go func() {
 		defer c.e.runs.Add(-1)
-		ctx, cancel := context.WithTimeout(c.e.base, time.Second)
 		defer cancel()
 		asked := false
 		if read != nil {
@@ -191,9 +193,14 @@
 			}
 		}
 		if asked {
-			c.owe(o.Engine, true)
+			began := time.Now()
+			c.owe(o.Engine, began, true)
 			held, err := c.e.o.Engines.Hold(ctx, o.Engine, c.r.Name, c.r.Prompt.Len, c.e.ownLetGo())
-			c.owe(o.Engine, err == nil) // an answer may have crossed a release
+			if err == nil { // an answer may have crossed a release
+				c.owe(o.Engine, time.Now(), true)
+			} else {
+				c.owe(o.Engine, began, false) // the place may be held since then
+			}
 			if err == nil {
 				c.e.planner.Tell(link.Fact{Kind: link.Placed, Completion: c.id, Dispatch: o.Dispatch, Held: held})
 			} else {
--- a/internal/edge/onename_test.go
+++ b/internal/edge/onename_test.go
@@ -26,6 +26,7 @@
 	deaf  int   // releases that fail first
 	probe error // what probes end with
 	freed time.Time
+	lost  bool // the answers to places
 }
 
 func (o *oneNameEngines) note(what string) {
@@ -59,8 +60,12 @@
 	return nil
 }
 
-func (o *oneNameEngines) Hold(context.Context, string, string, float64, time.Duration) (bool, error) {
+func (o *oneNameEngines) Hold(ctx context.Context, _, _ string, _ float64, _ time.Duration) (bool, error) {
 	o.note("place")
+	if o.lost {
+		<-ctx.Done()
+		return false, ctx.Err()
+	}
 	if o.holds != nil {
 		o.holds()
 	}
@@ -132,6 +137,16 @@
 				e.Order(link.Order{Kind: link.Release, Completion: 7})
 			}
 		}, []string{"read", "place", "release x", "release x"}},
+		"a place whose answer is lost, and the read has ended": {decide.Full, 0, func(e *Edge, f link.Fact) {
+			switch f.Kind {
+			case link.Take:
+				e.Order(dispatch(0, true))
+				e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
+			case link.Ended:
+				e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
+				e.Order(link.Order{Kind: link.Release, Completion: 7})
+			}
+		}, []string{"read", "place", "release x", "release x"}},
 		"what a failed release left, after a dispatch that came between": {decide.Broken, 0, func(e *Edge, f link.Fact) {
 			switch {
 			case f.Kind == link.Take:
@@ -150,6 +165,8 @@
 				if strings.HasPrefix(name, "what a failed release left") {
 					engines.deaf = 1
 				}
+				engines.lost = strings.Contains(name, "lost")
+				begun := time.Now()
 				e := New(Options{Engines: engines, OneName: true, LetGo: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
 				e.Plan(&orders{e, one.do})
 				over := false
@@ -160,6 +177,9 @@
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				require.Equal(t, one.want, engines.log)
+				if engines.lost {
+					require.Less(t, engines.freed.Sub(begun), 500*time.Millisecond)
+				}
 				require.Len(t, n.answers, 1)
 				require.True(t, over, "the completion is never forgotten")
 			})
