A read written to silence, or a call for a place, doesn't stop the clock of what is held

Cause: holdOne asked for a place also where its read had ended unsent (its channel closes then, too) and started the clock with it; reached took a read for one that reached its engine once it was written. Change: a place is asked for only where its read was written and is out; the clock starts anew only with a place that is granted; a read that is written while something is held is confirmed as a write is. Measured: TestOneName's new case fails without it.

--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -17,14 +17,14 @@
 //
 // The time of what is held runs from when an engine last had to do with it. A dispatch stops it only once it has
 // reached an engine that runs: one whose connection does not come up has reached nobody, and several after another
-// would hold a state past its limit. So it is with a write that was written to a connection that is silent: its engine
-// is asked, unless it was heard of since, and at the limit what is held is let go though the write is out. It harms one
+// would hold a state past its limit. So it is with one that was written to a connection that is silent: its engine is
+// asked, unless it was heard of since, and at the limit what is held is let go though the dispatch is out. It harms one
 // whose connection comes up late, or whose engine answers late to a probe, by a second read.
 type oneName struct {
 	owes   bool      // something may be held
 	at     string    // the engine that was last heard of in this
 	since  time.Time // when an engine last had to do with it
-	lost   bool      // it was let go while a write was out, which has not ended
+	lost   bool      // it was let go while a dispatch was out, which has not ended
 	timer  *time.Timer
 	asking int                // places that are being asked for
 	cut    context.CancelFunc // ends the last of these calls
@@ -54,7 +54,7 @@
 }
 
 // armOne lets go before the limit where no dispatch has reached an engine and no order comes, as arm does. Half-way it
-// asks the engine of a write that is out. It is called with the lock.
+// asks the engine of a dispatch that is out. It is called with the lock.
 func (c *completion) armOne() {
 	c.one.stop()
 	if !c.one.owes || c.reached() {
@@ -94,18 +94,18 @@
 	c.releaseOne("limit")
 }
 
-// unasked is a write that is out and was written, of whose engine it is not known whether it runs, nil for none. It is
-// called with the lock.
+// unasked is a dispatch that is out and was written, of whose engine it is not known whether it runs, nil for none. It
+// is called with the lock.
 func (c *completion) unasked() *run {
 	for _, r := range c.runs {
-		if r.wrote && !r.over && !r.reads && !r.reached && !r.asked {
+		if r.wrote && !r.over && !r.reached && !r.asked {
 			return r
 		}
 	}
 	return nil
 }
 
-// confirm finds out whether a write has reached an engine that runs.
+// confirm finds out whether a dispatch has reached an engine that runs.
 func (r *run) confirm() {
 	c := r.c
 	defer c.e.runs.Add(-1)
@@ -119,18 +119,19 @@
 	c.mu.Unlock()
 }
 
-// reached tells whether a dispatch that is out has reached its engine, as far as is known. A read has once it is
-// written: no state waits for it. It is called with the lock.
+// reached tells whether a dispatch that is out has reached its engine, as far as is known. It is called with the lock.
 func (c *completion) reached() bool {
-	return slices.ContainsFunc(c.runs, func(r *run) bool { return !r.over && r.wrote && (r.reads || r.reached) })
+	return slices.ContainsFunc(c.runs, func(r *run) bool { return !r.over && r.wrote && r.reached })
 }
 
 // endOne books a dispatch's end, and tells whether what was held is let go with it. One that was given up has perhaps
 // reached nobody: the time runs on from before it. It is called with the lock.
 func (c *completion) endOne(r *run, o decide.Outcome) bool {
-	if c.one.lost {
+	if lost := c.one.lost; lost {
 		c.one.lost = false
-		return true
+		if o != decide.Read { // else its state has come since
+			return true
+		}
 	}
 	if r.wrote && o != decide.TimedOut && o != decide.Cancelled {
 		c.one.since = time.Now()
@@ -187,16 +188,19 @@
 			select {
 			case <-read.sent:
 				c.mu.Lock()
-				asked = c.out > 0
+				asked = read.wrote && !read.over // else none is out that a place could be for
 				c.mu.Unlock()
 			case <-ctx.Done():
 			}
 		}
 		if asked {
 			began := time.Now()
-			c.owe(o.Engine, began, true)
+			c.owe(o.Engine, began, false)
 			held, err := c.e.o.Engines.Hold(ctx, o.Engine, c.r.Name, c.r.Prompt.Len, c.e.ownLetGo())
-			if err == nil { // an answer may have crossed a release
+			if held && err == nil { // an answer may have crossed a release
+				c.mu.Lock()
+				read.reached = true // none is granted where no read is out
+				c.mu.Unlock()
 				c.owe(o.Engine, time.Now(), true)
 			} else {
 				c.owe(o.Engine, began, false) // the place may be held since then
--- a/internal/edge/onename_test.go
+++ b/internal/edge/onename_test.go
@@ -27,6 +27,8 @@
 	probe error // what probes end with
 	freed time.Time
 	lost  bool // the answers to places
+	reads int
+	cut   bool // reads after the first don't connect
 }
 
 func (o *oneNameEngines) note(what string) {
@@ -38,6 +40,13 @@
 func (o *oneNameEngines) Read(ctx context.Context, call *engine.Call) *engine.Result {
 	time.Sleep(20 * time.Millisecond) // the prompt's way
 	o.note("read")
+	if o.reads++; o.reads > 1 && o.cut {
+		select {
+		case <-time.After(150 * time.Millisecond):
+		case <-ctx.Done():
+		}
+		return &engine.Result{Outcome: decide.Unreachable}
+	}
 	call.Wrote()
 	return &engine.Result{Outcome: o.read(ctx, call)}
 }
@@ -137,6 +146,15 @@
 				e.Order(link.Order{Kind: link.Release, Completion: 7})
 			}
 		}, []string{"read", "place", "release x", "release x"}},
+		"what a broken read left, while the next ones don't connect": {decide.Broken, 0, func(e *Edge, f link.Fact) {
+			switch {
+			case f.Kind == link.Take:
+				e.Order(dispatch(0, true))
+			case f.Kind == link.Ended && f.Dispatch < 4:
+				e.Order(dispatch(f.Dispatch+1, true))
+				e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
+			}
+		}, []string{"read", "read", "read", "release x", "read", "read"}},
 		"a place whose answer is lost, and the read has ended": {decide.Full, 0, func(e *Edge, f link.Fact) {
 			switch f.Kind {
 			case link.Take:
@@ -165,7 +183,7 @@
 				if strings.HasPrefix(name, "what a failed release left") {
 					engines.deaf = 1
 				}
-				engines.lost = strings.Contains(name, "lost")
+				engines.lost, engines.cut = strings.Contains(name, "lost"), strings.Contains(name, "don't connect")
 				begun := time.Now()
 				e := New(Options{Engines: engines, OneName: true, LetGo: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
 				e.Plan(&orders{e, one.do})
@@ -177,7 +195,7 @@
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				require.Equal(t, one.want, engines.log)
-				if engines.lost {
+				if engines.lost || engines.cut {
 					require.Less(t, engines.freed.Sub(begun), 500*time.Millisecond)
 				}
 				require.Len(t, n.answers, 1)
