--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -155,6 +155,66 @@
 	assert.InDelta(t, 1500, r.read, 50)
 }
 
+// TestFarPick: what would take long at a reader near goes to one in another zone, with its writer beside it; what is near
+// stays where it is as fast, however little distance costs then.
+func TestFarPick(t *testing.T) {
+	for name, one := range map[string]struct {
+		near, far float64 // tokens that wait at the readers
+		want      []string
+	}{
+		"idle near":                    {0, 0, []string{"dispatch 0", "place 2"}},
+		"a moment's wait near":         {500, 0, []string{"dispatch 0", "place 2"}},
+		"jammed near":                  {15000, 0, []string{"dispatch 1", "place 3"}},
+		"jammed near, and more so far": {15000, 3e4, []string{"dispatch 0", "place 2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			facts := fleet()
+			facts[1].Zone, facts[3].Zone = 1, 1
+			r, b := start(t, func(s *Settings) {
+				s.Places, s.FarPrice, s.CrossPrice, s.WritersRead = true, 0.08, 0.01, false
+			}, facts)
+			r.engines[0].load[work].out, r.engines[1].load[work].out = one.near, one.far
+			r.Take(1, prompt(0, 800))
+			assert.Equal(t, one.want, b.flush())
+		})
+	}
+}
+
+// TestLikeThisRouter: the others are as many like this router as the engines' reports leave room for.
+func TestLikeThisRouter(t *testing.T) {
+	for name, one := range map[string]struct {
+		own  float64 // tokens this router holds at each engine
+		full float64 // share of memory held, as reported; below 0: no report
+		from float64
+		to   float64
+	}{
+		"none reports":           {1000, -1, 299, 299},
+		"one that gets the mean": {100, 0.15, 250, 299},
+		"one that gets most":     {10000, 0.15, 0, 70},
+		"it holds all there is":  {30000, 0.15, 0, 65},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, _ := start(t, func(s *Settings) { s.Routers, s.Columns = 300, []string{"x0"} }, fleet())
+			for _, e := range r.engines {
+				r.carry(e, 0, one.own)
+				if one.full >= 0 {
+					r.Probed(e.id, Finished, []float64{one.full})
+				}
+			}
+			r.At(20)
+			for _, e := range r.engines {
+				r.carry(e, 0, 0)
+				if one.full >= 0 {
+					r.Probed(e.id, Finished, []float64{one.full})
+				}
+			}
+			r.survey()
+			assert.GreaterOrEqual(t, r.like, one.from)
+			assert.LessOrEqual(t, r.like, one.to)
+		})
+	}
+}
+
 // TestHeavyDispatchesToColdEngines: a dispatch that reads as much as several mean ones takes as much of the budget.
 func TestHeavyDispatchesToColdEngines(t *testing.T) {
 	for name, routers := range map[string]int{"by count": 2, "by lots": 300} {
