--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	rarely      = 2.0    // times longer that both last where own work is no sample: outcomes are as much rarer
 	paceLeast   = 0.02   // weight of one time in a pool's pace, about the last fifty
 	readsSlower = 3.0    // times; long reads at writers, until the first time is measured
-	pacesGuess  = 1.0    // times; the guess of a pace weighs as so many measured ones: some routers measure few
+	pacesGuess  = 8.0    // times; the guess of a pace weighs as so many measured ones
 	paceGuess   = 2e-5   // seconds a token until the first time is measured
 	lateGuess   = 4.0    // times the expected time that counts as late until it is measured
 	lateShare   = 0.03   // share of dispatches that are to be late
@@ -68,7 +68,7 @@
 	probeAge    = 0.3    // seconds; an engine that would be picked is probed when its report is older
 	probeWait   = 0.05   // seconds that a completion waits for probes: many round trips
 	coldPart    = 0.5    // share of a window's cold budget for half of it: chance and heavy work move it by half
-	coldLots    = 0.7    // share of that which is given by lots: its chance comes on top of the work's
+	coldLots    = 0.6    // share of that which is given by lots: its chance comes on top of the work's
 	coldLeast   = 1.0    // dispatches a second, all routers: an engine's typical rate is held to be no less
 	watchAgain  = 1.0    // seconds between tries to get the list where it must be asked
 	answerGuess = 0.4    // share of the most it may produce that an answer without a hint is taken for
