--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -263,14 +263,12 @@
 	if c.endOne(r, result.Outcome) && result.Outcome != decide.Read {
 		result.Found = 1 // no state is left
 	}
-	c.mu.Unlock()
-	c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: result.Outcome, Took: took.Seconds(),
-		Done: result.Done, Found: result.Found, Report: result.Report})
-	c.mu.Lock()
 	if c.out == 0 && c.place != nil {
 		c.arm(c.place)
 	}
 	c.mu.Unlock()
+	c.e.planner.Tell(link.Fact{Kind: link.Ended, Completion: c.id, Dispatch: r.n, Outcome: result.Outcome, Took: took.Seconds(),
+		Done: result.Done, Found: result.Found, Report: result.Report})
 	c.settle()
 	c.e.runs.Add(-1)
 }
--- a/internal/edge/onename.go
+++ b/internal/edge/onename.go
@@ -127,11 +127,10 @@
 // endOne books a dispatch's end, and tells whether what was held is let go with it. One that was given up has perhaps
 // reached nobody: the time runs on from before it. It is called with the lock.
 func (c *completion) endOne(r *run, o decide.Outcome) bool {
-	if lost := c.one.lost; lost {
-		c.one.lost = false
-		if o != decide.Read { // else its state has come since
-			return true
-		}
+	lost := c.one.lost
+	c.one.lost = false
+	if lost && o != decide.Read { // else its state has come since
+		return true
 	}
 	if r.wrote && o != decide.TimedOut && o != decide.Cancelled {
 		c.one.since = time.Now()
