Lots for a cold engine are drawn by all completions taken, not just those its pool serves

Its log of arrivals: "mixed-0 age 0.98 sum 1.93 limit 1.93", 37 dispatches of told routers in 0.8 s, seven of them in one instant. Cause: decide.go, cold: a lot's chance was the part of a dispatch over the completions that the engine's pool serves in half a window. But every completion that is taken draws, so where one mixed engine serves a tenth of them the lots gave ten times their part. Change: the chance is over all that are taken, or what the pool serves where that is more; the present one is left out of the rate.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -465,7 +465,8 @@
 	if r.now >= e.coldAt+r.window/2 {
 		e.coldAt, e.coldLeft = r.now, math.Floor(allowed)
 	}
-	lots := coldLots * (allowed - math.Floor(allowed)) / (rate * size * r.window / 2)
+	draws := math.Max(rate*size, r.taken.now(r.now)-1/rateTime) * r.window / 2 // all taken, served there or not
+	lots := coldLots * (allowed - math.Floor(allowed)) / draws
 	return e.coldLeft < 1 && draw(c.id+r.nonce, e.mark) >= lots/c.weight(e)
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -452,6 +452,26 @@
 			assert.Greater(t, n, 20, "second %d", s)
 		}
 	})
+	t.Run("lots are drawn by all completions, not just those that the pool serves", func(t *testing.T) {
+		sent := 0
+		for i := range 30 { // a mixed engine comes back cold where it served one in ten
+			r, b := start(t, func(s *Settings) { s.Routers, s.Seed = 30, uint64(i) }, append(fleet(), ready(4, 2, 0, 0)))
+			for k := range 100 { // ten a second
+				r.At(float64(k) / 10)
+				r.pools[Mixed].rate, r.taken = meter{1, r.now}, meter{10, r.now}
+				for _, e := range r.engines[:4] {
+					e.load[held].out = 1.9e5 // the cold one is wanted by all
+				}
+				p := prompt(0, 100)
+				p.Session = uint64(i*1000 + k)
+				r.Take(uint64(k), p)
+				sent += int(part(len(b.sends) > 0 && b.sends[len(b.sends)-1] == 4))
+				b.sends = nil
+			}
+		}
+		assert.Greater(t, sent, 100)
+		assert.Less(t, sent, 375) // multiple 2 x mean share 0.625 x 30 a second x 10 s
+	})
 	t.Run("asks for a list again when that failed", func(t *testing.T) {
 		r, b := start(t, func(s *Settings) { s.ListAsked = true }, nil)
 		r.Listed(ListFailed, nil)
