The planner tells decide its router's own zone by the planner's own number

A trial that logs each send with what is near showed that all 330 routers took the same zone for their own ("readers by zone None: 27, 0: 14", "routers 0: 330"), with own numbers 0, 1 and 2. Ruled out: the price of distance and the time from which what is near is left (most sends were picked at no price of distance); reports (5,298 of 5,913 reads went out on one of under 0.15 s). Cause: the planner numbers zones by its own table, where its router's own is 0 (engines.go, newEngines); New passed the settings' number on, which internal/settings counts by the list of zones. So near was, in two of three zones, some other zone, the same for all. Change: New sets the zone to the planner's number. The test fails without it.

--- a/internal/planner/engines.go
+++ b/internal/planner/engines.go
@@ -84,10 +84,13 @@
 	n.all[i].freed = now
 }
 
+// ownZone is the index of the router's own zone.
+const ownZone = 0
+
 func newEngines(most int, machines []Machine, zone string, log *slog.Logger) *engines {
 	t := &engines{most: most, log: log, byName: map[string]int{}, zones: names{most: 2*most + 1, byName: map[string]int{}},
 		cells: names{most: 2*most + 1, byName: map[string]int{}}, machines: map[string]int{}}
-	t.zones.hold(0, zone) //nolint:errcheck // the first one has room, and is never dropped
+	t.zones.hold(0, zone) //nolint:errcheck // the first one has room, is ownZone, and is never dropped
 	for i, m := range machines {
 		t.machines[m.Name] = i
 		t.roles = append(t.roles, m.Role)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -62,8 +62,10 @@
 	timers int // that wait
 }
 
-// New makes a planner. Its edge gets the orders; Run must be called once.
+// New makes a planner. Its edge gets the orders; Run must be called once. The zones of the settings are numbered by
+// whoever read them; decide is told of zones by the planner's own numbers, its own router's zone too.
 func New(s decide.Settings, o Options, edge link.Edge) (*Planner, error) {
+	s.Zone = ownZone
 	p := &Planner{box: newMailbox(o.Mailbox, o.MaxCompletions), edge: edge, log: o.Log, delay: o.Delay,
 		engines: newEngines(o.MaxEngines, o.Machines, o.Zone, o.Log), start: time.Now(), open: map[uint64]*open{},
 		tick: s.Tick}
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -80,6 +80,29 @@
 	p.fire()
 }
 
+// TestOwnZone: whichever number the settings give the router's zone, its own engines are the near ones.
+func TestOwnZone(t *testing.T) {
+	for number, own := range []string{"a", "b", "c"} {
+		p, b := planner(t, func(s *decide.Settings, o *Options) { s.Zone, s.CrossPrice, o.Zone = number, 0.1, own })
+		var entries []link.Entry
+		for i, zone := range []string{"c", "a", "b"} { // in any order
+			e := entry(i+1, "write", decide.Ready)
+			e.Zone, e.Cell = zone, zone+"1"
+			entries = append(entries, e)
+		}
+		p.Tell(fleet(decide.ListFull, entries...))
+		for id := range uint64(5) {
+			p.Offer(take(id+1, 0, 100, time.Second))
+		}
+		p.step()
+		sent := b.of(link.Dispatch)
+		require.Len(t, sent, 5)
+		for _, o := range sent {
+			assert.Equal(t, own, map[string]string{"10.0.0.1:8000": "c", "10.0.0.2:8000": "a", "10.0.0.3:8000": "b"}[o.Engine])
+		}
+	}
+}
+
 func TestMailbox(t *testing.T) {
 	p, _ := planner(t, func(_ *decide.Settings, o *Options) { o.Mailbox, o.MaxCompletions = 3, 5 })
 	p.Tell(fleet(decide.ListFull, entry(1, "write", decide.Ready)))
