A cold engine counts as little loaded, and what waits at readers first as what is taken

Ruled out: the cold budget (its lots were open to one in ten to forty of a hundred engines' completions, and unused). Cause: decide.go, all: an engine not heard of was taken for as loaded as its pool, a new one too, so that nobody asked it; reported: until a read is measured what waits counted 250 tokens. Change: the pool's average counts for a cold engine as far as it is warm: it had no time for more. Until a read is measured, what waits at readers counts as the last prompt taken, less its shared beginning. Both tests fail without it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -336,10 +336,11 @@
 
 // all is what all routers together have on an engine. This router's work there stands for the others' as far
 // as it is a sample; else they have what engines of the pool have on average, by reports and by this router's
-// work there in the last seconds. A report of the engine is blended in by its age.
+// work there in the last seconds; a cold one has only what it had time for, else nobody would pick it.
+// A report of the engine is blended in by its age.
 func (r *Router) all(e *engine, i int) float64 {
 	l, p, alike := &e.load[i], e.pool, e.pool.sample()*part(e.heard > 0)
-	average := (r.like*p.out[i].mean/math.Max(1, p.size) + p.reported[i]) / (1 + p.reported[2])
+	average := r.warmth(e) * (r.like*p.out[i].mean/math.Max(1, p.size) + p.reported[i]) / (1 + p.reported[2])
 	guess := l.out + alike*r.like*l.out + (1-alike)*average
 	trust := math.Exp((e.reportAt - r.now) / reportFades)
 	return trust*math.Max(l.out, l.report+(l.out-l.then)*(1+alike*r.like)) + (1-trust)*guess
@@ -457,6 +458,14 @@
 	}
 }
 
+// warmth is the part of its warm-up that an engine has behind it, 1 for a warm one.
+func (r *Router) warmth(e *engine) float64 {
+	if age := (r.now - e.started) / r.warm; age < 1 {
+		return math.Max(0, age)
+	}
+	return 1
+}
+
 // cold tells whether the cold budget bars a completion from a started engine. In each half window the engine
 // takes this router's part of the multiple times its share of the typical rate, in dispatches of mean work. A
 // part of a dispatch, all that one of hundreds of routers has, is a lot that each completion draws: by time
@@ -464,8 +473,8 @@
 // what all lots allow; it harms where the rest of the fleet is full.
 func (c *Completion) cold(e *engine) bool {
 	r := c.r
-	age := math.Max(0, r.now-e.started) / r.warm
-	if !(age < 1) || r.window <= 0 {
+	age := r.warmth(e)
+	if age == 1 || r.window <= 0 {
 		return false
 	}
 	size := math.Max(1, e.pool.size)
@@ -554,6 +563,9 @@
 		// where a router or an engine stops; it harms others while many come back at once, by a read each.
 		c.eager = math.Inf(1)
 	}
+	if reads := &r.pools[Reader]; reads.served == 0 { // what waits there is like this one, until one is measured
+		reads.read = p.Len - p.SharedLen
+	}
 	c.advance()
 	return c
 }
@@ -619,9 +631,9 @@
 	}
 	r.survey()
 	c.settle()
-	// Distance has a price, a part of a completion's value; being late costs most of it. It guards against traffic
-	// that shifts to one zone; where all are full it harms, by moves. No part of the price is left then: where little
-	// is known of the engines, all routers would follow the least of it.
+	// Distance has a price, a part of a completion's value; being late costs most of it. It guards against
+	// traffic that shifts to one zone; where all are full it harms, by moves. No part of the price is left
+	// then: where little is known of the engines, all routers would follow the least of it.
 	var near, beside *engine
 	for c.anywhere = false; ; c.anywhere = true {
 		reader := c.pick()
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -155,6 +155,17 @@
 	assert.InDelta(t, 1500, r.pools[Reader].read, 50)
 }
 
+// TestFirstReadsAreLikeWhatIsTaken: until a read is measured what waits at a reader is taken for reads of what was taken
+// last but for its shared beginning.
+func TestFirstReadsAreLikeWhatIsTaken(t *testing.T) {
+	r, _ := start(t, func(s *Settings) { s.Routers, s.Columns = 300, []string{"queue"} }, fleet())
+	p := prompt(0, 3000)
+	p.Shared, p.SharedLen = 9, 1200
+	r.Take(1, p)
+	r.Probed(1, Finished, []float64{4})
+	assert.InDelta(t, 4*1800, r.engines[1].load[work].report, 1)
+}
+
 // TestWaitingWritesAreNoReads: what waits at a writer was mostly read elsewhere, so that a queue there stands for fewer
 // tokens than one at a reader.
 func TestWaitingWritesAreNoReads(t *testing.T) {
@@ -231,6 +242,19 @@
 	}
 }
 
+// TestColdEnginesHaveLittle: a cold engine of which nothing is known has as much of its pool's average as it is warm.
+func TestColdEnginesHaveLittle(t *testing.T) {
+	r, _ := start(t, func(s *Settings) { s.Routers, s.Columns = 300, []string{"queue"} },
+		[]Fact{ready(0, 0, 0, longAgo), ready(1, 0, 1, longAgo), ready(2, 1, 0, longAgo), ready(3, 0, 0, 0)})
+	for at, part := range map[float64]float64{0: 0, 5: 0.5, 10: 1, 30: 1} { // warm after 10 s
+		r.At(at)
+		r.Probed(0, Finished, []float64{8})
+		r.survey()
+		assert.InDelta(t, part*r.all(r.engines[1], work), r.all(r.engines[3], work), 1, "at %v", at)
+		assert.Greater(t, r.all(r.engines[1], work), 100.0)
+	}
+}
+
 // TestHeavyDispatchesToColdEngines: a dispatch that reads as much as several mean ones takes as much of the budget.
 func TestHeavyDispatchesToColdEngines(t *testing.T) {
 	for name, routers := range map[string]int{"by count": 2, "by lots": 300} {
