An uncached token is expected to take as long as one that waits; the bounds on times follow

Cause: decide.go, dispatchTo: the expected time took the burden, in which an uncached token weighs four times for those it holds up. So long prompts were refused for time that they don't take, and short ones sent into jams. Change: the expected time counts it once. The first pace and the bounds are in the unit that changed with it: what an idle reader is expected to take is half of before, so paceGuess 4e-5 (2e-5), readMost 0.4 (0.6), nearMost 0.08 (0.15).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,7 @@
 	paceLeast   = 0.02   // weight of one time in a pool's pace, about the last fifty
 	readsSlower = 3.0    // times; long reads at writers, until the first time is measured
 	pacesGuess  = 8.0    // times; the guess of a pace weighs as so many measured ones
-	paceGuess   = 2e-5   // seconds a token until the first time is measured
+	paceGuess   = 4e-5   // seconds a token until the first time is measured
 	lateGuess   = 4.0    // times the expected time that counts as late until it is measured
 	lateShare   = 0.03   // share of dispatches that are to be late
 	lateGain    = 0.2    // log steps by which the late figure moves
@@ -60,8 +60,8 @@
 	rateTime    = 4.0    // seconds over which rates are measured
 	fullMost    = 0.95   // share of a writer's memory; past it growing answers push others out
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
-	readMost    = 0.6    // latency targets; a longer read, and write, is rate-limited: times vary by half
-	nearMost    = 0.15   // latency targets; what would take longer near goes wherever it is served
+	readMost    = 0.4    // latency targets; a longer read, and write, is rate-limited: times vary by half
+	nearMost    = 0.08   // latency targets; what would take longer near goes wherever it is served
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once, and what chance adds to that
 	comeBack    = 0.5    // seconds; the first come-back time, about the wait that a full bound holds
@@ -811,7 +811,7 @@
 func (c *Completion) dispatchTo(e *engine) (d *dispatch, expected float64) {
 	r := c.r
 	tokens := c.lacks(e) * part(c.state == nil)
-	d = &dispatch{e: e, at: r.now, tokens: tokens, claimed: r.keeps(e, &c.p), cost: r.cost(e, tokens),
+	d = &dispatch{e: e, at: r.now, tokens: tokens, claimed: r.keeps(e, &c.p), cost: r.cost(e, tokens/thrift),
 		out: true, held: c.p.Len, own: c.state == nil}
 	if d.stage = c.stageOf(e); d.stage > 0 {
 		d.held = c.p.Len + c.answer/2
