A dispatch is worked out once for the check and the send; one place for what tests wrote twice

Found on reading the whole change again, behaviour as before: - send asked fits, which works out the dispatch, and then worked it out again: costs, claims and loads twice for each dispatch. fits hands over what it found; the wait at the writer is worked out only where it is asked for. stageOf found again the tokens that dispatchTo had, and target had one caller: both are inline. - r.like repeated the expression of r.others; internal/config still said a zone that the planner says now. - onename_test.go had one planner script twice and one edge with its completion twice: placeThenEnd and takeOne. Assertions as they were. - TestColdEnginesHaveLittle set its times in the order of a map.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -176,13 +176,14 @@
 	guess := stage{paceGuess, pacesGuess, lateGuess}
 	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, nonce: s.Seed, over: s.OverShare, tick: s.Tick,
 		others: math.Max(0, float64(s.Routers-1)), works: s.Workloads, roles: s.Roles, memory: s.Memory,
-		zone: s.Zone, like: math.Max(0, float64(s.Routers-1)),
+		zone: s.Zone,
 		most: cmp.Or(s.MaxDispatches, dispatches), back: math.Min(s.MaxComeBack, comeBack),
 		reads: s.WritersRead, places: s.Places, cancels: s.Cancels, probes: s.Probes && len(s.Columns) > 0,
 		far: closeLeast + closeTokens*s.FarPrice, away: closeLeast + 2*closeTokens*s.CrossPrice,
 		farZone: closeTokens * s.CrossPrice, warm: s.Warm, share: s.ColdShare, window: s.ColdWindow,
 		budget: s.ColdMultiple * s.ColdWindow,
 		stages: [3]stage{guess, guess, {paceGuess * readsSlower, pacesGuess, lateGuess}}}
+	r.like = r.others
 	for _, w := range s.Workloads {
 		r.greatest = math.Max(r.greatest, w.Value)
 	}
@@ -640,14 +641,16 @@
 		if c.asks(reader) {
 			return
 		}
-		if c.anywhere && near != nil && c.expected(near) <= c.expected(reader) { // no faster there
+		if !c.anywhere {
+			if d, _ := c.fits(reader, nearMost); d == nil {
+				near, beside = reader, c.writer
+				continue
+			}
+		} else if near != nil && c.expected(near) <= c.expected(reader) { // no faster there
 			reader, c.writer = near, beside
 		}
-		if c.anywhere || c.fits(reader, nearMost) {
-			c.send(reader)
-			return
-		}
-		near, beside = reader, c.writer
+		c.send(reader)
+		return
 	}
 }
 
@@ -813,49 +816,42 @@
 	tokens := c.lacks(e) * part(c.state == nil)
 	d = &dispatch{e: e, at: r.now, tokens: tokens, claimed: r.keeps(e, &c.p), cost: r.cost(e, tokens/thrift),
 		out: true, held: c.p.Len, own: c.state == nil}
-	if d.stage = c.stageOf(e); d.stage > 0 {
-		d.held = c.p.Len + c.answer/2
+	if e.role != Reader {
+		d.stage, d.held = 1+int(min(tokens/localMost, 1)), c.p.Len+c.answer/2
 	}
 	return d, d.cost * r.stages[d.stage].pace
 }
 
-// stageOf is the stage that a dispatch to an engine would be: 0 a read, 1 a write, 2 a long read at a writer.
-func (c *Completion) stageOf(e *engine) int {
-	if e.role == Reader {
-		return 0
-	}
-	return 1 + int(min(c.lacks(e)*part(c.state == nil)/localMost, 1))
-}
-
-// target is the latency target.
-func (c *Completion) target() float64 { return c.w.Target + c.w.TargetPerToken*c.p.Len }
-
-// fits tells whether a dispatch to an engine is left, and the time for it: a first one may take so many
-// targets.
-func (c *Completion) fits(e *engine, most float64) bool {
+// fits is the dispatch to an engine and its expected time if one is left and the time for it, else nil: a
+// first one may take so many targets.
+func (c *Completion) fits(e *engine, most float64) (d *dispatch, expected float64) {
 	if e == nil {
-		return false
+		return nil, 0
 	}
 	r := c.r
-	d, expected := c.dispatchTo(e)
+	d, expected = c.dispatchTo(e)
 	if r.now+expected > c.deadline || len(c.sent) >= r.most {
-		return false
+		return nil, 0
+	}
+	if len(c.sent) == 0 && d.stage != 1 {
+		write := r.cost(c.writer, 0) * r.stages[1].pace * (1 - c.writer.pool.sample()) // else crowded knows
+		if expected+write > most*c.eager*(c.w.Target+c.w.TargetPerToken*c.p.Len) {
+			return nil, 0
+		}
 	}
-	write := r.cost(c.writer, 0) * r.stages[1].pace * (1 - c.writer.pool.sample()) // else crowded knows
-	return len(c.sent) > 0 || d.stage == 1 || expected+write <= most*c.eager*c.target()
+	return d, expected
 }
 
 // send makes a dispatch if it fits; else it gives up. While a prompt is read, its memory at the writer is
 // booked, so that those taken meanwhile see it.
 func (c *Completion) send(e *engine) {
 	r := c.r
-	if !c.fits(e, readMost) {
+	d, expected := c.fits(e, readMost)
+	if d == nil {
 		c.giveUp()
 		return
 	}
-	d, expected := c.dispatchTo(e)
-	g := &r.stages[d.stage]
-	d.late = r.now + math.Max(lateFloor, expected*g.late)
+	d.late = r.now + math.Max(lateFloor, expected*r.stages[d.stage].late)
 	e.coldLeft -= c.weight(e)
 	c.sent, c.out = append(c.sent, d), d
 	r.carry(e, d.tokens, d.held)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -258,11 +258,11 @@
 func TestColdEnginesHaveLittle(t *testing.T) {
 	r, _ := start(t, func(s *Settings) { s.Routers, s.Columns = 300, []string{"queue"} },
 		[]Fact{ready(0, 0, 0, longAgo), ready(1, 0, 1, longAgo), ready(2, 1, 0, longAgo), ready(3, 0, 0, 0)})
-	for at, part := range map[float64]float64{0: 0, 5: 0.5, 10: 1, 30: 1} { // warm after 10 s
-		r.At(at)
+	for _, one := range []struct{ at, warm float64 }{{0, 0}, {5, 0.5}, {10, 1}, {30, 1}} {
+		r.At(one.at)
 		r.Probed(0, Finished, []float64{8})
 		r.survey()
-		assert.InDelta(t, part*r.all(r.engines[1], work), r.all(r.engines[3], work), 1, "at %v", at)
+		assert.InDelta(t, one.warm*r.all(r.engines[1], work), r.all(r.engines[3], work), 1, "at %v", one.at)
 		assert.Greater(t, r.all(r.engines[1], work), 100.0)
 	}
 }
--- a/internal/config/build.go
+++ b/internal/config/build.go
@@ -55,7 +55,7 @@
 // Decide are the settings that the planner's module is told.
 func Decide(r *pb.Router) decide.Settings {
 	a, cold := r.GetAllowed(), r.GetCold()
-	s := decide.Settings{Seed: r.GetSeed(), Routers: int(r.GetRouters()), Zone: 0, OverShare: r.GetOverShareValue(),
+	s := decide.Settings{Seed: r.GetSeed(), Routers: int(r.GetRouters()), OverShare: r.GetOverShareValue(),
 		Columns: figures(r.GetReports()).Columns(), Probes: a.GetProbes(), Places: a.GetPlaces(), WritersRead: a.GetWritersRead(),
 		Cancels: a.GetCancels(), MaxDispatches: int(a.GetMaxDispatches()), MaxComeBack: a.GetMaxComeBackS(),
 		ColdShare: cold.GetStartShare(), Warm: cold.GetWarmS(), ColdMultiple: cold.GetFallMultiple(), ColdWindow: cold.GetFallWindowS(),
--- a/internal/edge/onename_test.go
+++ b/internal/edge/onename_test.go
@@ -99,12 +99,36 @@
 func (n nobody) Abort(bool)                                            { n.answers <- "aborted" }
 func (n nobody) Fault(int, []byte)                                     { n.answers <- "fault" }
 
+// letGo is the limit of what is held.
+const letGo = 500 * time.Millisecond
+
+// takeOne has an edge before the engines take a completion, with a planner that answers facts with orders.
+func takeOne(t *testing.T, engines *oneNameEngines, timeout time.Duration, do func(*Edge, link.Fact), over func()) nobody {
+	e := New(Options{Engines: engines, OneName: true, LetGo: letGo, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
+	e.Plan(&orders{e, do})
+	n := nobody{make(chan string, 1)}
+	_, taken := e.Take(context.Background(), &Request{ID: 7, Name: "x", Arrived: time.Now(), Timeout: timeout, Whole: timeout,
+		Body: func(bool, []byte) []byte { return nil }, Over: over}, n)
+	require.True(t, taken)
+	return n
+}
+
 // TestOneName: what engines hold under a completion's one name is let go before its limit and never while a dispatch is
 // out that may need it, and a place is asked for only after the read's last byte.
 func TestOneName(t *testing.T) {
 	dispatch := func(n int, reads bool) link.Order {
 		return link.Order{Kind: link.Dispatch, Completion: 7, Dispatch: n, Engine: "a", Reads: reads, Timeout: 5}
 	}
+	placeThenEnd := func(e *Edge, f link.Fact) {
+		switch f.Kind {
+		case link.Take:
+			e.Order(dispatch(0, true))
+			e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
+		case link.Ended:
+			e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
+			e.Order(link.Order{Kind: link.Release, Completion: 7})
+		}
+	}
 	for name, one := range map[string]struct {
 		read  decide.Outcome
 		holds time.Duration
@@ -136,16 +160,7 @@
 				e.Order(dispatch(f.Dispatch+1, true))
 			}
 		}, []string{"read", "read", "read", "release x"}},
-		"a place granted after the end": {decide.Full, 200 * time.Millisecond, func(e *Edge, f link.Fact) {
-			switch f.Kind {
-			case link.Take:
-				e.Order(dispatch(0, true))
-				e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
-			case link.Ended:
-				e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
-				e.Order(link.Order{Kind: link.Release, Completion: 7})
-			}
-		}, []string{"read", "place", "release x", "release x"}},
+		"a place granted after the end": {decide.Full, 200 * time.Millisecond, placeThenEnd, []string{"read", "place", "release x", "release x"}},
 		"what a broken read left, while the next ones don't connect": {decide.Broken, 0, func(e *Edge, f link.Fact) {
 			switch {
 			case f.Kind == link.Take:
@@ -155,16 +170,7 @@
 				e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
 			}
 		}, []string{"read", "read", "read", "release x", "read", "read"}},
-		"a place whose answer is lost, and the read has ended": {decide.Full, 0, func(e *Edge, f link.Fact) {
-			switch f.Kind {
-			case link.Take:
-				e.Order(dispatch(0, true))
-				e.Order(link.Order{Kind: link.HoldPlace, Completion: 7, Engine: "b"})
-			case link.Ended:
-				e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
-				e.Order(link.Order{Kind: link.Release, Completion: 7})
-			}
-		}, []string{"read", "place", "release x", "release x"}},
+		"a place whose answer is lost, and the read has ended": {decide.Full, 0, placeThenEnd, []string{"read", "place", "release x", "release x"}},
 		"what a failed release left, after a dispatch that came between": {decide.Broken, 0, func(e *Edge, f link.Fact) {
 			switch {
 			case f.Kind == link.Take:
@@ -185,18 +191,13 @@
 				}
 				engines.lost, engines.cut = strings.Contains(name, "lost"), strings.Contains(name, "don't connect")
 				begun := time.Now()
-				e := New(Options{Engines: engines, OneName: true, LetGo: 500 * time.Millisecond, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
-				e.Plan(&orders{e, one.do})
 				over := false
-				n := nobody{make(chan string, 1)}
-				_, taken := e.Take(context.Background(), &Request{ID: 7, Name: "x", Arrived: time.Now(), Timeout: time.Second, Whole: time.Second,
-					Body: func(bool, []byte) []byte { return nil }, Over: func() { over = true }}, n)
-				require.True(t, taken)
+				n := takeOne(t, engines, time.Second, one.do, func() { over = true })
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				require.Equal(t, one.want, engines.log)
 				if engines.lost || engines.cut {
-					require.Less(t, engines.freed.Sub(begun), 500*time.Millisecond)
+					require.Less(t, engines.freed.Sub(begun), letGo)
 				}
 				require.Len(t, n.answers, 1)
 				require.True(t, over, "the completion is never forgotten")
@@ -209,10 +210,9 @@
 // another; the one that is out at the limit is ended and the planner is told that no state is left. A write that was
 // written stops it if its engine answers a probe; else the state is let go while the write is out.
 func TestHeldWhileConnecting(t *testing.T) {
-	const limit = 500 * time.Millisecond
 	waits := func(_ context.Context, call *engine.Call) decide.Outcome {
 		call.Wrote()
-		time.Sleep(2 * limit)
+		time.Sleep(2 * letGo)
 		return decide.Errored
 	}
 	for name, one := range map[string]struct {
@@ -226,13 +226,13 @@
 			select {
 			case <-ctx.Done():
 				return engine.OutcomeOf(ctx, ctx.Err(), false)
-			case <-time.After(limit / 4):
+			case <-time.After(letGo / 4):
 				return decide.Unreachable
 			}
-		}, nil, decide.Unreachable, 1, limit},
-		"one is written, and waits": {waits, nil, decide.Errored, 0, 3 * limit},
-		"one is written to silence": {waits, engine.ErrTimedOut, decide.Errored, 1, limit},
-		"it can't be asked":         {waits, engine.ErrNotAsked, decide.Errored, 1, limit},
+		}, nil, decide.Unreachable, 1, letGo},
+		"one is written, and waits": {waits, nil, decide.Errored, 0, 3 * letGo},
+		"one is written to silence": {waits, engine.ErrTimedOut, decide.Errored, 1, letGo},
+		"it can't be asked":         {waits, engine.ErrNotAsked, decide.Errored, 1, letGo},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -241,9 +241,8 @@
 					read = time.Now()
 					return decide.Read
 				}}
-				e := New(Options{Engines: engines, OneName: true, LetGo: limit, Log: slog.New(slog.DiscardHandler), Observe: quiet{}})
 				var last link.Fact
-				e.Plan(&orders{e, func(e *Edge, f link.Fact) {
+				takeOne(t, engines, 5*time.Second, func(e *Edge, f link.Fact) {
 					switch {
 					case f.Kind == link.Take:
 						e.Order(link.Order{Kind: link.Dispatch, Completion: 7, Engine: "a", Reads: true, Timeout: 5})
@@ -254,11 +253,7 @@
 						e.Order(link.Order{Kind: link.RateLimit, Completion: 7})
 						e.Order(link.Order{Kind: link.Release, Completion: 7})
 					}
-				}})
-				n := nobody{make(chan string, 1)}
-				_, taken := e.Take(context.Background(), &Request{ID: 7, Name: "x", Arrived: time.Now(), Timeout: 5 * time.Second,
-					Whole: 5 * time.Second, Body: func(bool, []byte) []byte { return nil }, Over: func() {}}, n)
-				require.True(t, taken)
+				}, func() {})
 				synctest.Wait()
 				require.Less(t, engines.freed.Sub(read), one.most)
 				require.Equal(t, one.last, last.Outcome)
