One home a text where probes are allowed, its writers in that reader's cell

Cause: settle drew the writer by session and the reader of the opening in that writer's cell, so each opening had a home in every cell and was read anew in each. Ruled out: evictions (15 reads only were not the first at the reader). Change: where probes show a jam, an opening has one home in the zone and the session's writer is drawn in its cell, or in one with writers to spare; else as before. Mixed engines count on both sides.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	triedTokens = 250e3  // tokens; more than any engine's burden, for one that has failed the completion
 	dispatches  = 3      // a completion, where the settings don't say
 	remoteMost  = 1000.0 // tokens; no remainder costs a writer more, since a reader reads it; the home has none
-	readSlack   = 1.0    // times its even share that a reader is given before homes move to other cells
+	elsewhere   = 1e-6   // the weight of a home out of the zone, or in a cell that lacks readers or writers
 	unsure      = 0.5    // share of the price of distance that counts where a router can't see a jam near it
 	thrift      = 4.0    // times; an uncached token's weight against one that waits: it holds up all behind it
 	overhead    = 400.0  // tokens; what a dispatch costs besides reading: a hop, a step, a fetch
@@ -160,7 +160,8 @@
 	warm, share, window, budget float64 // of the cold rule: budget is dispatches a window at a rate of 1
 
 	engines []*engine
-	cells   [][2]float64 // readers, and others, that are ready in a cell
+	cells   [][2]float64 // engines ready in a cell that read, and that write: mixed ones do both
+	readers float64      // how many are ready in the zone
 	pools   [3]pool      // by role
 	stages  [3]stage
 	tenants []tenant
@@ -253,7 +254,8 @@
 		}
 		if e.phase == Ready {
 			e.pool.size++
-			r.cells[e.cell][min(e.role, Writer)]++
+			r.cells[e.cell][0] += part(e.role != Writer)
+			r.cells[e.cell][1] += part(e.role != Reader)
 		}
 	}
 }
@@ -278,10 +280,10 @@
 		e.zone == o.zone && e.cell == o.cell
 }
 
-// enough tells how far the readers of a cell are enough for the work of its writers: 1 or more if they are.
+// enough tells how far those that read in a cell are enough for its writers: 1 or more if they are.
 func (r *Router) enough(cell int) float64 {
-	readers, writers := r.cells[cell][0]/r.pools[Reader].size, r.pools[Writer].size+r.pools[Mixed].size
-	return readSlack * readers * writers / r.cells[cell][1]
+	mixed, here := r.pools[Mixed].size, r.cells[cell]
+	return here[0] * (r.pools[Writer].size + mixed) / (here[1] * (r.pools[Reader].size + mixed))
 }
 
 // Probed takes what a probe found. A failed probe counts as a failure.
@@ -752,26 +754,44 @@
 	return home
 }
 
-// settle finds the completion's homes: the writer that all routers would have write this session, and the
-// reader that all would have read its text for that writer: in its cell, as far as the cell's readers are
-// enough, else in one with readers to spare. It stands in for the table of kept prefixes where a router sees
-// little of the work; it harms when cells differ in more than their numbers.
+// settle finds the completion's homes: the reader that all routers of the zone would have read this text, and
+// the writer that they would have write this session, in one cell as far as its writers and readers match.
+// Each further home of a text would read it anew, so it has one where probes tell a jam there, which sends
+// some elsewhere; else one in each writer's cell, as no jam would be seen. It stands in for the table of kept
+// prefixes where a router sees little of the work; it harms when cells differ in more than their numbers.
 func (c *Completion) settle() {
-	r, text := c.r, cmp.Or(c.p.Shared, c.p.Session)
-	c.home, c.ownHome = nil, r.homeOf(c.p.Session, func(e *engine) float64 {
-		return part(e.role != Reader && e.zone == r.zone)
-	})
-	if c.ownHome == nil {
-		return
+	r, text, at := c.r, cmp.Or(c.p.Shared, c.p.Session), 0
+	reader := func(in func(e *engine) float64) *engine {
+		return r.homeOf(text, func(e *engine) float64 { return part(e.role == Reader) * in(e) })
+	}
+	writer := func(in func(e *engine) float64) *engine {
+		return r.homeOf(c.p.Session, func(e *engine) float64 {
+			return part(e.role != Reader && e.zone == r.zone) * in(e)
+		})
 	}
-	at := c.ownHome.cell
-	near := draw(c.p.Session, uint64(at)) < r.enough(at)
-	c.home = r.homeOf(text, func(e *engine) float64 {
-		if near {
-			return part(e.role == Reader && e.cell == at)
+	there := func(e *engine) float64 { return part(e.cell == at) }
+	readers := func(e *engine) float64 { return math.Max(0, 1-1/r.enough(e.cell)) }
+	writers := func(e *engine) float64 { return math.Max(0, 1-r.enough(e.cell)) }
+	c.home, c.ownHome = nil, writer(func(*engine) float64 { return 1 })
+	switch {
+	case c.ownHome == nil:
+	case r.probes:
+		c.home = reader(func(e *engine) float64 {
+			return elsewhere + part(e.zone == r.zone && r.cells[e.cell][1] > 0)
+		})
+		if c.home == nil {
+			return
 		}
-		return part(e.role == Reader) * math.Max(0, 1-1/r.enough(e.cell))
-	})
+		if at = c.home.cell; draw(c.p.Session, uint64(at)) < 1/r.enough(at) {
+			writers = there
+		}
+		c.ownHome = cmp.Or(writer(writers), c.ownHome)
+	default:
+		if at = c.ownHome.cell; draw(text, uint64(at)) < r.enough(at) {
+			readers = there
+		}
+		c.home = reader(readers)
+	}
 }
 
 func part(so bool) float64 {
