--- a/decide/decide.go
+++ b/decide/decide.go
@@ -845,8 +845,8 @@
 // fits is the dispatch to an engine and its expected time if one is left and the time for it, else nil: a
 // first one may take a share of the target, near a small one. Where the pace is mostly guessed, its own
 // tokens don't speak against it but what waits there: few short reads that waited say nothing of a long one.
-// It guards against long prompts given up by routers that see little; it harms by late ones where engines read
-// far slower than guessed.
+// It guards against long prompts given up by routers that see little; it harms by late ones where engines
+// read far slower than guessed.
 func (c *Completion) fits(e *engine, near bool) (d *dispatch, expected float64) {
 	if e == nil {
 		return nil, 0
