A stand-in records a held place before what ends it; so TestNoEffectTwice saw one held for good

The log: the place was granted after the write was sent, and released ("late", no error) while the write ran. Cause: the stand-in, not the edge. servePlace booked the place under the engine's lock but recorded PLACE_HELD after unlocking it; a write that arrived in between took the place and recorded PLACE_TAKEN first. Ruled out: the edge's order of release (holdPlace releases once, after the answer), and the engine's memory (it was given back by the write). Change: what is held and what ends is recorded under the lock that guards it, for states as for places.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -496,14 +496,16 @@
 	s := &state{tokens: tokens, name: completion}
 	s.expires = time.AfterFunc(stateExpires, func() { e.drop(id, pb.EngineEvent_STATE_EXPIRED) })
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.states[id] = s
-	e.mu.Unlock()
 	e.note(&pb.EngineEvent{Kind: pb.EngineEvent_STATE_HELD.Enum(), Dispatch: proto.String(id), Completion: proto.String(completion)})
 }
 
-// drop ends a state, or a place, and tells whether there was one.
+// drop ends a state, or a place, and tells whether there was one. What is held and what ends is recorded under the lock
+// that guards it: the record's order is the order in which it happened.
 func (e *Engine) drop(id string, how pb.EngineEvent_Kind) bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	s := e.states[id]
 	place, held := e.places[id]
 	delete(e.states, id)
@@ -514,7 +516,6 @@
 	if held {
 		e.used = max(0, e.used-place)
 	}
-	e.mu.Unlock()
 	if s != nil {
 		s.expires.Stop()
 		e.note(&pb.EngineEvent{Kind: how.Enum(), Dispatch: proto.String(id), Completion: proto.String(s.name)})
--- a/internal/standin/fleet_test.go
+++ b/internal/standin/fleet_test.go
@@ -1,7 +1,11 @@
 package standin
 
 import (
+	"context"
+	"net/http/httptest"
 	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +34,49 @@
 		assert.Greater(t, len(f.seen), 1900)
 	})
 }
+
+// entryList is a Recorder in memory.
+type entryList struct {
+	mu  sync.Mutex
+	all []*pb.Entry
+}
+
+func (l *entryList) Write(e *pb.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, e)
+}
+
+// TestHeldBeforeItEnds forces a release, or a write, to take a place at the moment at which it is granted: the record
+// tells first that it was held and then that it ended. A record in the other order reads as a place held for good.
+func TestHeldBeforeItEnds(t *testing.T) {
+	const places = 3000
+	entries := &entryList{}
+	f := &Fleet{record: entries, routers: map[string]place{}}
+	e := newEngine(f, &pb.EngineSet{Slots: proto.Int32(1 << 20), MemoryTokens: proto.Float64(1e9)}, "e", "c")
+	e.up, e.life = true, context.Background()
+	for i := range places {
+		id := "x" + strconv.Itoa(i) + "-place"
+		var both sync.WaitGroup
+		both.Go(func() {
+			call := httptest.NewRequest("POST", "/v1/kv_places", strings.NewReader(`{"id":"`+id+`","prompt_tokens":1,"lease_ms":60000}`))
+			e.servePlace(httptest.NewRecorder(), call)
+		})
+		both.Go(func() {
+			for !e.drop(id, pb.EngineEvent_STATE_TAKEN) { // until it is there
+			}
+		})
+		both.Wait()
+	}
+	held, ended := map[string]bool{}, 0
+	for _, entry := range entries.all {
+		switch ev := entry.GetEngine(); ev.GetKind() {
+		case pb.EngineEvent_PLACE_HELD:
+			held[ev.GetDispatch()] = true
+		case pb.EngineEvent_PLACE_TAKEN:
+			ended++
+			require.True(t, held[ev.GetDispatch()], "%s ended before it was held", ev.GetDispatch())
+		}
+	}
+	assert.Equal(t, places, ended)
+}
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -389,8 +389,9 @@
 	if held {
 		e.mu.Lock()
 		e.places[call.ID] = call.Tokens
-		e.mu.Unlock()
+		// Recorded under the lock, as drop does: a write that takes the place at once is recorded after it.
 		e.note(&pb.EngineEvent{Kind: pb.EngineEvent_PLACE_HELD.Enum(), Dispatch: proto.String(call.ID), Completion: proto.String(completionOf(call.ID))})
+		e.mu.Unlock()
 		time.AfterFunc(time.Duration(call.Lease)*time.Millisecond, func() { e.drop(call.ID, pb.EngineEvent_STATE_RELEASED) })
 	}
 	json.NewEncoder(w).Encode(map[string]bool{"held": held}) //nolint:errcheck // the peer left
