The platform's router passes Idempotency-Key on; a dispatch has a last look before its first byte

Now front takes it (255 bytes at most, once) and it goes on to reader and writer as it came.

Cause 2, found by reading: backend built a call's head, with the time that is left, before it dialed. A connection that comes up late (up to the connect time-out) had the engine told more than the client has left, and the call written though the engine had begun to drain, or the caller had left, meanwhile. Now the head is made when the connection is up, from the client's own deadline, and nothing is written for a caller that left, to an engine that drains or is gone, or with no time left: a dispatch that was never sent.

Cause 3, found by reading: what its caller ended before it was written counted as "may have run" (timed out, cancelled), so that work which may not run twice was given up.

--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -165,13 +165,19 @@
 	}
 }
 
-func (r *run) call(body []byte) *engine.Call {
+// call is the dispatch's call. What it tells its engine of the time left is bounded by the client's own deadline, however
+// old the order is.
+func (r *run) call(body []byte, timeout time.Duration) *engine.Call {
 	c := r.c
 	id := c.r.Name
+	until := r.at.Add(timeout)
+	if deadline := c.r.Arrived.Add(c.r.Timeout - c.r.Margin); until.After(deadline) {
+		until = deadline
+	}
 	if !c.e.o.OneName {
 		id += "-" + strconv.Itoa(r.n)
 	}
-	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Wrote: r.wasWritten,
+	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Timeout: timeout, Until: until, Wrote: r.wasWritten,
 		Heard: func(report []float64) {
 			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
@@ -180,8 +186,7 @@
 func (r *run) read(timeout time.Duration) {
 	c := r.c
 	timer := time.AfterFunc(timeout, func() { r.cancel(engine.ErrTimedOut) })
-	call := r.call(c.r.Body(true, nil))
-	call.Timeout = timeout
+	call := r.call(c.r.Body(true, nil), timeout)
 	result := c.e.o.Engines.Read(r.ctx, call)
 	timer.Stop()
 	switch {
@@ -209,7 +214,7 @@
 	if r.state != nil {
 		state = r.state.params
 	}
-	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(c.r.Body(false, state)), timeout)
+	stream, result := c.e.o.Engines.Write(r.ctx, r.cancel, r.call(c.r.Body(false, state), timeout), timeout)
 	if stream == nil {
 		missing := result.Outcome == decide.Full && result.Found == 1
 		c.giveBack(r.state, missing)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -14,10 +14,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -134,6 +132,7 @@
 	Target  string // of the call, empty for the chat call's own
 	Body    []byte
 	Timeout time.Duration          // of a read
+	Until   time.Time              // the client waits no longer for the first token; what is told of it is told when it is written
 	Wrote   func()                 // is called once the last byte is written, nil for none
 	Heard   func(report []float64) // is called with a report in the header, nil for none
 }
@@ -203,41 +202,6 @@
 	return r
 }
 
-// OutcomeOf is the outcome of a call that ended with an error. sent tells whether some of it was written.
-func OutcomeOf(ctx context.Context, err error, sent bool) decide.Outcome {
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, ErrTimedOut), errors.Is(cause, ErrIdle), errors.Is(cause, context.DeadlineExceeded):
-		return decide.TimedOut
-	case errors.Is(cause, ErrHeld) && !sent:
-		return decide.Unreachable
-	case cause != nil:
-		return decide.Cancelled
-	}
-	var op *net.OpError
-	dial := errors.As(err, &op) && op.Op == "dial" || errors.Is(err, errNoConns)
-	switch {
-	case errors.Is(err, ErrMalformed):
-		return decide.Errored
-	case dial && isLocal(err):
-		return decide.Moot
-	case dial, !sent:
-		return decide.Unreachable
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
-		errors.Is(err, syscall.EPIPE), errors.Is(err, ErrTruncated), errors.As(err, &op),
-		strings.Contains(err.Error(), "server closed idle connection"),
-		strings.Contains(err.Error(), "transport connection broken: EOF"):
-		return decide.Broken
-	case errors.Is(err, context.Canceled): // a stream that was closed here in the middle
-		return decide.Cancelled
-	}
-	return decide.Errored // such as a header that is too long, or no HTTP at all
-}
-
-// isLocal tells whether a dial failed for want of descriptors or ports here: no fault of the engine.
-func isLocal(err error) bool {
-	return errors.Is(err, errNoConns) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
-}
-
 // Read has a reader read the prompt and hold its state.
 func (c *Client) Read(ctx context.Context, call *Call) *Result {
 	resp, bad := c.post(ctx, call)
@@ -321,19 +285,3 @@
 	}
 	return nil
 }
-
-// ErrNotAsked is a probe that was not made: nothing was learnt of the engine.
-var ErrNotAsked = errors.New("not asked")
-
-// ProbeOutcome is the outcome of a probe that ended with err.
-func ProbeOutcome(err error) decide.Outcome {
-	switch {
-	case err == nil:
-		return decide.Finished
-	case errors.Is(err, context.DeadlineExceeded):
-		return decide.TimedOut
-	case isLocal(err), errors.Is(err, ErrNotAsked):
-		return decide.Finished // nothing was learnt, and the engine is not to blame
-	}
-	return decide.Unreachable
-}
--- /dev/null
+++ b/internal/engine/outcome_test.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"cherryhub/decide"
+)
+
+// TestErrorClasses: what each system call's error says of a dispatch, while it connects and in use, before and after its
+// last byte.
+func TestErrorClasses(t *testing.T) {
+	system := func(op, call string, number syscall.Errno) error {
+		return fmt.Errorf("dispatch: %w", &net.OpError{Op: op, Net: "tcp", Err: os.NewSyscallError(call, number)})
+	}
+	for _, number := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		for _, call := range []string{"socket", "connect"} {
+			err := system("dial", call, number)
+			assert.Equal(t, decide.Moot, OutcomeOf(t.Context(), err, false), "%v", err)
+			assert.Equal(t, decide.Finished, ProbeOutcome(err), "%v: nothing was learnt of the engine", err)
+		}
+	}
+	for _, number := range []syscall.Errno{syscall.ECONNREFUSED, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ETIMEDOUT, syscall.ECONNRESET} {
+		err := system("dial", "connect", number)
+		assert.Equal(t, decide.Unreachable, OutcomeOf(t.Context(), err, false), "%v", err)
+		assert.Equal(t, decide.Unreachable, ProbeOutcome(err), "%v", err)
+	}
+	for _, number := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET, syscall.EPIPE, syscall.ENOBUFS, syscall.EIO} {
+		for op, call := range map[string]string{"read": "read", "write": "write"} {
+			err := system(op, call, number)
+			assert.Equal(t, decide.Broken, OutcomeOf(t.Context(), err, true), "%v after the last byte", err)
+			assert.Equal(t, decide.Unreachable, OutcomeOf(t.Context(), err, false), "%v before it", err)
+		}
+		assert.Equal(t, decide.Broken, OutcomeOf(t.Context(), number, true), "%v without a net.OpError", number)
+	}
+	for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, net.ErrClosed, ErrTruncated} {
+		assert.Equal(t, decide.Broken, OutcomeOf(t.Context(), err, true), "%v", err)
+		assert.Equal(t, decide.Unreachable, OutcomeOf(t.Context(), err, false), "%v", err)
+	}
+	assert.Equal(t, decide.Errored, OutcomeOf(t.Context(), fmt.Errorf("x: %w", ErrMalformed), true))
+}
+
+// TestEndedByItsCaller: what its caller ended before it was sent has not run, whatever the cause; after that it may have.
+func TestEndedByItsCaller(t *testing.T) {
+	for cause, want := range map[error]struct{ before, after decide.Outcome }{
+		ErrCancelled: {decide.Moot, decide.Cancelled}, ErrTimedOut: {decide.Moot, decide.TimedOut}, ErrIdle: {decide.Moot, decide.TimedOut},
+		ErrHeld: {decide.Unreachable, decide.Cancelled}, errors.New("other"): {decide.Moot, decide.Cancelled},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(cause)
+		assert.Equal(t, want.before, OutcomeOf(ctx, net.ErrClosed, false), "%v", cause)
+		assert.Equal(t, want.after, OutcomeOf(ctx, net.ErrClosed, true), "%v", cause)
+	}
+}
--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -51,6 +51,7 @@
 type target struct {
 	address string
 	listed  bool
+	drains  bool
 	goneAt  time.Time
 	heard   time.Time // when it last answered
 	idle    []*conn   // last used last
@@ -95,8 +96,11 @@
 	return c
 }
 
-// Engine is where an engine is reached.
-type Engine struct{ Name, Address string }
+// Engine is where an engine is reached, and whether it drains.
+type Engine struct {
+	Name, Address string
+	Drains        bool
+}
 
 // Listed tells of engines that are new or moved. whole: all others have left.
 func (c *Client) Listed(whole bool, engines []Engine, gone []string) {
@@ -118,7 +122,7 @@
 		if t.address != e.Address {
 			drop = append(drop, t.empty()...)
 		}
-		t.address, t.listed = e.Address, true
+		t.address, t.listed, t.drains = e.Address, true, e.Drains
 	}
 	for _, name := range gone {
 		if t := c.targets[name]; t != nil {
@@ -216,7 +220,12 @@
 	return n
 }
 
-var errUnknown = errors.New("an engine that is not on the list")
+// Errors of calls of which nothing was written, and which tell nothing of the engine.
+var (
+	errUnknown = errors.New("an engine that is not on the list")
+	errDrains  = errors.New("an engine that drains or is gone")
+	errTooLate = errors.New("no time left")
+)
 
 // get takes a kept connection that still stands, or makes one.
 func (c *Client) get(ctx context.Context, name string) (*conn, error) {
@@ -332,10 +341,38 @@
 	a.conn.Close() //nolint:errcheck // done with it
 }
 
+// outgoing is a call to be made.
+type outgoing struct {
+	engine  string
+	begins  bool                     // work at the engine: nothing of it goes to one that drains or is gone
+	message func() ([][]byte, error) // is called when the connection is up
+	wrote   func()                   // is called once the last byte is written, nil for none
+}
+
+// ready is the last look before a call's first byte, once its connection is up: that may have taken as long as a dial
+// may, in which the caller may have left, the engine may have begun to drain, and the time left has gone by.
+func (c *Client) ready(ctx context.Context, one *conn, call *outgoing) ([][]byte, error) {
+	c.mu.Lock()
+	drains := one.t.drains || !one.t.listed
+	c.mu.Unlock()
+	if call.begins && drains {
+		return nil, fmt.Errorf("%s: %w", call.engine, errDrains)
+	}
+	if err := context.Cause(ctx); err != nil {
+		return nil, err
+	}
+	return call.message()
+}
+
 // do makes a call. sent tells whether its last byte was written. The context's end closes the connection.
-func (c *Client) do(ctx context.Context, name string, message [][]byte, wrote func()) (a *answer, sent bool, err error) {
-	one, err := c.get(ctx, name)
+func (c *Client) do(ctx context.Context, call outgoing) (a *answer, sent bool, err error) {
+	one, err := c.get(ctx, call.engine)
+	if err != nil {
+		return nil, false, err
+	}
+	message, err := c.ready(ctx, one, &call)
 	if err != nil {
+		c.put(one) // nothing was written to it
 		return nil, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { one.Close() }) //nolint:errcheck // ends reads and writes
@@ -354,8 +391,8 @@
 		return fail(fmt.Errorf("write: %w", err))
 	}
 	sent = true
-	if wrote != nil {
-		wrote()
+	if call.wrote != nil {
+		call.wrote()
 	}
 	head, err := readHead(one)
 	if err != nil {
@@ -397,22 +434,31 @@
 	return err
 }
 
-// message is a call's bytes.
-func message(call *engine.Call, wait time.Duration) [][]byte {
+// message is a dispatch's bytes, which tell the time that is left as they are made.
+func message(call *engine.Call) ([][]byte, error) {
+	left := time.Until(call.Until)
+	if left <= 0 {
+		return nil, errTooLate
+	}
 	h := make([]byte, 0, 256)
 	h = append(append(append(h, "POST "...), call.Target...), " HTTP/1.1\r\nHost: engine\r\nContent-Type: application/json\r\nX-Request-Id: "...)
-	h = append(append(h, call.ID...), "\r\nX-Deadline: "...)
-	h = append(strconv.AppendInt(h, max(1, wait.Milliseconds()), 10), "m\r\nContent-Length: "...)
+	h = append(h, call.ID...)
+	if call.Key != "" { // as the client sent it: http1 lets no line end into a value
+		h = append(append(h, "\r\nIdempotency-Key: "...), call.Key...)
+	}
+	h = append(h, "\r\nX-Deadline: "...)
+	h = append(strconv.AppendInt(h, max(1, left.Milliseconds()), 10), "m\r\nContent-Length: "...)
 	h = append(strconv.AppendInt(h, int64(len(call.Body)), 10), "\r\n\r\n"...)
-	return [][]byte{h, call.Body}
+	return [][]byte{h, call.Body}, nil
 }
 
 // post sends a dispatch and gives a head of the status that is wanted, or what the dispatch came to.
-func (c *Client) post(ctx context.Context, call *engine.Call, wait time.Duration, wanted int) (*answer, *engine.Result) {
-	a, sent, err := c.do(ctx, call.Address, message(call, wait), call.Wrote)
+func (c *Client) post(ctx context.Context, call *engine.Call, wanted int) (*answer, *engine.Result) {
+	a, sent, err := c.do(ctx, outgoing{engine: call.Address, begins: true, wrote: call.Wrote,
+		message: func() ([][]byte, error) { return message(call) }})
 	if err != nil {
 		r := &engine.Result{Outcome: engine.OutcomeOf(ctx, err, sent), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
-		if errors.Is(err, errUnknown) {
+		if errors.Is(err, errUnknown) || errors.Is(err, errDrains) || errors.Is(err, errTooLate) {
 			r.Outcome = decide.Moot
 		}
 		if r.Outcome != decide.Cancelled && r.Outcome != decide.Moot && r.Outcome != decide.Errored {
@@ -453,7 +499,7 @@
 
 // Read has a reader read the prompt and hold its state.
 func (c *Client) Read(ctx context.Context, call *engine.Call) *engine.Result {
-	a, bad := c.post(ctx, call, call.Timeout, 202)
+	a, bad := c.post(ctx, call, 202)
 	if bad != nil {
 		return bad
 	}
@@ -471,9 +517,9 @@
 }
 
 // small makes a call without a body and gives its status and body.
-func (c *Client) small(ctx context.Context, name, method, target string) (int, []byte, *http1.Head, error) {
-	text := method + " " + target + " HTTP/1.1\r\nHost: engine\r\nContent-Length: 0\r\n\r\n"
-	a, _, err := c.do(ctx, name, [][]byte{[]byte(text)}, nil)
+func (c *Client) small(ctx context.Context, name, method, target string, begins bool) (int, []byte, *http1.Head, error) {
+	text := []byte(method + " " + target + " HTTP/1.1\r\nHost: engine\r\nContent-Length: 0\r\n\r\n")
+	a, _, err := c.do(ctx, outgoing{engine: name, begins: begins, message: func() ([][]byte, error) { return [][]byte{text}, nil }})
 	if err != nil {
 		return 0, nil, nil, fmt.Errorf("%s %s at %s: %w", method, target, name, err)
 	}
@@ -489,7 +535,7 @@
 
 // Hold asks a writer for a place for the completion. An error: it is not known whether it is held.
 func (c *Client) Hold(ctx context.Context, name, id string, _ float64, _ time.Duration) (bool, error) {
-	status, _, _, err := c.small(ctx, name, "POST", rooms+id)
+	status, _, _, err := c.small(ctx, name, "POST", rooms+id, true)
 	switch {
 	case err != nil:
 		return false, err
@@ -511,7 +557,7 @@
 		one := ask[at]
 		try, cancel := context.WithTimeout(ctx, wait)
 		var status int
-		status, _, _, err = c.small(try, one, "DELETE", rooms+id)
+		status, _, _, err = c.small(try, one, "DELETE", rooms+id, false)
 		cancel()
 		if err == nil && status == 204 {
 			return nil
@@ -557,7 +603,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	status, body, head, err := c.small(ctx, name, "GET", "/metrics/load")
+	status, body, head, err := c.small(ctx, name, "GET", "/metrics/load", false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/backend/backend_test.go
+++ b/internal/platform/backend/backend_test.go
@@ -26,7 +26,8 @@
 func read(c *Client, name string) *engine.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return c.Read(ctx, &engine.Call{Address: name, ID: "x", Target: "/v1/chat/completions", Body: []byte("{}"), Timeout: time.Second})
+	return c.Read(ctx, &engine.Call{Address: name, ID: "x", Target: "/v1/chat/completions", Body: []byte("{}"), Timeout: time.Second,
+		Until: time.Now().Add(time.Second)})
 }
 
 // TestKept: a connection is used again, one that the engine has closed meanwhile is not, and nothing is sent twice.
@@ -34,7 +35,7 @@
 	w := standin.NewWorld()
 	e, err := w.Start("e", true)
 	require.NoError(t, err)
-	c := client(t, Engine{"e", e.Address()})
+	c := client(t, Engine{Name: "e", Address: e.Address()})
 	for range 3 {
 		r := read(c, "e")
 		require.Equal(t, decide.Read, r.Outcome)
@@ -56,7 +57,7 @@
 	require.NoError(t, err)
 	address := ln.Addr().String()
 	require.NoError(t, ln.Close())
-	c := client(t, Engine{"refuses", address})
+	c := client(t, Engine{Name: "refuses", Address: address})
 	require.Equal(t, decide.Unreachable, read(c, "refuses").Outcome)
 	require.Equal(t, decide.Moot, read(c, "nobody").Outcome)
 }
@@ -71,7 +72,7 @@
 	c := New(Options{ConnectTimeout: time.Second, IdleConn: time.Second, MaxConns: 1,
 		Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
 	t.Cleanup(c.Close)
-	c.Listed(true, []Engine{{"e", "any"}}, nil)
+	c.Listed(true, []Engine{{Name: "e", Address: "any"}}, nil)
 	require.Equal(t, decide.Unreachable, read(c, "e").Outcome)
 }
 
@@ -83,7 +84,7 @@
 		e, err := w.Start(name, true)
 		require.NoError(t, err)
 		t.Cleanup(e.Close)
-		all = append(all, Engine{name, e.Address()})
+		all = append(all, Engine{Name: name, Address: e.Address()})
 	}
 	w.Spoil = func(c *standin.Call, _ int) standin.Fault {
 		if c.Engine == "silent" && c.Kind == standin.Release {
@@ -113,9 +114,9 @@
 	c := New(Options{Columns: []string{"util"}, ConnectTimeout: time.Second, IdleConn: time.Second, MaxConns: 1,
 		Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
 	t.Cleanup(c.Close)
-	c.Listed(true, []Engine{{"e", "any"}}, nil)
+	c.Listed(true, []Engine{{Name: "e", Address: "any"}}, nil)
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s, bad := c.Write(ctx, cancel, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}")}, time.Second)
+	s, bad := c.Write(ctx, cancel, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Until: time.Now().Add(time.Second)}, time.Second)
 	require.Nil(t, bad)
 	var got []string
 	for {
--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -49,7 +49,7 @@
 func (c *Client) Write(ctx context.Context, cancel context.CancelCauseFunc, call *engine.Call, timeout time.Duration) (edge.Stream, *engine.Result) {
 	timer := time.AfterFunc(timeout, func() { cancel(engine.ErrTimedOut) })
 	defer timer.Stop()
-	a, bad := c.post(ctx, call, timeout, 200)
+	a, bad := c.post(ctx, call, 200)
 	if bad != nil {
 		return nil, bad
 	}
--- a/internal/platform/front/call.go
+++ b/internal/platform/front/call.go
@@ -42,6 +42,7 @@
 // wanted is a call as its header tells it.
 type wanted struct {
 	id      string
+	key     string // by which engines know a repeat, empty for none
 	prompt  decide.Prompt
 	timeout time.Duration
 }
@@ -58,18 +59,21 @@
 		}
 		return v, nil
 	}
-	var values [7]string
-	for i, name := range [...]string{"x-request-id", "x-class", "x-tenant", "x-key", "x-deadline", "x-extras", "x-cost-hint"} {
+	var values [8]string
+	for i, name := range [...]string{"x-request-id", "x-class", "x-tenant", "x-key", "x-deadline", "x-extras", "x-cost-hint", "idempotency-key"} {
 		v, fault := field(name)
 		if fault != nil {
 			return nil, fault
 		}
 		values[i] = v
 	}
-	w := &wanted{id: values[0]}
+	w := &wanted{id: values[0], key: values[7]}
 	if !isID(w.id) {
 		return nil, bad(400, "x-request-id: %.80q is no id: wanted 1 to %d letters, digits, - or _", w.id, idMost)
 	}
+	if len(w.key) > keyMost {
+		return nil, bad(400, "idempotency-key: %d bytes: wanted %d at most", len(w.key), keyMost)
+	}
 	work, known := s.works[values[1]]
 	if !known {
 		return nil, bad(400, "x-class: %.80q is not known", values[1])
@@ -159,8 +163,11 @@
 	return nil
 }
 
-// idMost bounds an id.
-const idMost = 128
+// The bounds of an id and of an idempotency key, in bytes.
+const (
+	idMost  = 128
+	keyMost = 255
+)
 
 func isID(s string) bool {
 	if s == "" || len(s) > idMost {
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -352,7 +352,7 @@
 		s.ids.end(time.Now(), w.id)
 		s.mu.Unlock()
 	})
-	c.take(&edge.Request{ID: s.o.Edge.NextID(), Name: w.id, Target: h.Target, Prompt: w.prompt, Arrived: arrived, Timeout: w.timeout,
+	c.take(&edge.Request{ID: s.o.Edge.NextID(), Name: w.id, Key: w.key, Target: h.Target, Prompt: w.prompt, Arrived: arrived, Timeout: w.timeout,
 		Margin: min(s.o.Margin, w.timeout/4), Whole: s.o.StreamMost, Body: func(bool, []byte) []byte { return body }, Over: over})
 }
 
--- a/internal/platform/service/clients_test.go
+++ b/internal/platform/service/clients_test.go
@@ -43,6 +43,8 @@
 		"no id":                  {call("", good), 400},
 		"an id that is a path":   {call("../x", good), 400},
 		"lengths that are wrong": {call("e1", good, "X-Extras: prompt_len=-4"), 400},
+		"a key without end":      {call("i1", good, "Idempotency-Key: "+strings.Repeat("k", 256)), 400},
+		"two keys":               {call("i2", good, "Idempotency-Key: a\r\nIdempotency-Key: b"), 400},
 		"a body that is no JSON": {call("j1", strings.Repeat("x", 60)), 400},
 		"no messages":            {call("j2", `{"model":"chat"}`), 400},
 		"other call":             {"DELETE /bootstrap/rooms/x HTTP/1.1\r\nHost: a\r\n\r\n", 404},
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -154,7 +154,7 @@
 		if p == decide.Gone {
 			gone = append(gone, h.Name)
 		} else {
-			engines = append(engines, backend.Engine{Name: h.Name, Address: h.Address})
+			engines = append(engines, backend.Engine{Name: h.Name, Address: h.Address, Drains: p == decide.Draining})
 		}
 	}
 	r.log.Info("list", "seq", l.Version, "whole", l.Whole, "entries", len(l.Hosts))
--- a/internal/platform/service/service_test.go
+++ b/internal/platform/service/service_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cherryhub/internal/platform/http1"
 	"cherryhub/internal/platform/standin"
 )
 
@@ -50,6 +51,30 @@
 	}
 }
 
+// TestIdempotencyKey: the key by which engines know a repeat goes on to each engine as its client sent it, and none goes
+// where none came.
+func TestIdempotencyKey(t *testing.T) {
+	s := newSite(t)
+	const key = "18a18016ae64946679a5cab58dab7d14"
+	for id, fields := range map[string][]string{"keyed": {"Idempotency-Key: " + key}, "plain": nil} {
+		status, _, err := s.send(call(id, prompt(2000), fields...))
+		require.NoError(t, err)
+		require.Equal(t, 200, status)
+	}
+	seen := 0
+	for _, c := range append(s.w.Calls(standin.Read), s.w.Calls(standin.Write)...) {
+		got, times := (&http1.Head{Fields: c.Fields}).Get("idempotency-key")
+		if c.ID == "keyed" {
+			seen++
+			require.Equal(t, 1, times)
+			require.Equal(t, key, got)
+			continue
+		}
+		require.Zero(t, times)
+	}
+	require.Equal(t, 2, seen, "one read and one write")
+}
+
 // TestOutcomes: each way a dispatch can end is told as what it is: what failed before its first event is sent again,
 // and the client gets one whole answer.
 func TestOutcomes(t *testing.T) {
