Clients' connections end in order, and each crossing with a call has one place that decides it

Stop looked once whether calls ran, then ended the process: a call that came after the look was read and never answered. 3. The idle deadline was set outside the lock under which a connection is evicted: an evicted one could rest for 10 s more. 4. A client that had sent more than 2 KiB behind its call and left was not seen to leave: its call went on. 5. A failed accept was repeated each 2 ms, with a line of log each. Change (front/conn.go): a connection's own goroutine closes it, always by finish: sending side shut, 100 ms or 256 KiB read and dropped, then closed; an eighth of the connections may be in that state, past it one is closed at once, so that a flood gets no more descriptors than before. begin and rest book calls and set deadlines under the room's lock. Close ends all, after the listener, before the process does. Where the read-ahead is full the socket is polled for the other side's end. Accept pauses from 2 to 200 ms. Tests on real sockets with the crossing forced by hooks on the server's side of the connection: TestRequestCrossesTheEnd (seven ends), TestEvictedAsItRests, TestEvictedAsACallComes, TestLeavesBehindItsCalls, TestHalfACall, TestAcceptFails. Each of these fails with its part of the change taken out (tried one by one): no drain, no poll, deadline outside the lock, no check at begin, no backoff. The front's tests 50 times under -race: clean (but for the two last added, 10 times).

--- /dev/null
+++ b/internal/platform/front/closing_test.go
@@ -0,0 +1,349 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cherryhub/decide"
+	"cherryhub/internal/edge"
+	"cherryhub/internal/engine"
+	"cherryhub/internal/link"
+	"cherryhub/internal/loopback"
+)
+
+// hookedListener accepts from a socket. Before it does, it gives the errors that are left; what it accepts calls the
+// hooks.
+type hookedListener struct {
+	net.Listener
+	mu      sync.Mutex
+	errors  []error
+	accepts int
+	hooks   hooks
+}
+
+// hooks are called on the server's side of a connection: before its sending side is shut or it is closed, whichever is
+// first, with each read deadline, which may be replaced, and with what was read.
+type hooks struct {
+	closing  func()
+	deadline func(time.Time) time.Time
+	read     func() // after bytes were read, before they are handed on
+}
+
+func (l *hookedListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	l.accepts++
+	if len(l.errors) > 0 {
+		err := l.errors[0]
+		l.errors = l.errors[1:]
+		l.mu.Unlock()
+		return nil, err
+	}
+	l.mu.Unlock()
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &hookedConn{TCPConn: conn.(*net.TCPConn), hooks: l.hooks}, nil
+}
+
+type hookedConn struct {
+	*net.TCPConn
+	hooks hooks
+	once  sync.Once
+}
+
+func (c *hookedConn) closes() {
+	if c.hooks.closing != nil {
+		c.once.Do(c.hooks.closing)
+	}
+}
+
+func (c *hookedConn) CloseWrite() error { c.closes(); return c.TCPConn.CloseWrite() }
+func (c *hookedConn) Close() error      { c.closes(); return c.TCPConn.Close() }
+
+func (c *hookedConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 && c.hooks.read != nil {
+		c.hooks.read()
+	}
+	return n, err
+}
+
+func (c *hookedConn) SetReadDeadline(t time.Time) error {
+	if c.hooks.deadline != nil {
+		t = c.hooks.deadline(t)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+// shedding is a planner that sheds each call, unless it has to hold them; it counts what it was offered and what left.
+type shedding struct {
+	e             *edge.Edge
+	holds         bool
+	offered, left atomic.Int64
+}
+
+func (p *shedding) Offer(f link.Fact) bool {
+	p.offered.Add(1)
+	if !p.holds {
+		p.e.Order(link.Order{Kind: link.RateLimit, Completion: f.Completion})
+	}
+	return true
+}
+
+func (p *shedding) Tell(f link.Fact) {
+	if f.Kind == link.Left {
+		p.left.Add(1)
+	}
+}
+
+// noEngines are never called.
+type noEngines struct{ edge.Engines }
+
+type quiet struct{}
+
+func (quiet) Took(int)                                       {}
+func (quiet) Answered(int, edge.Answer, time.Duration)       {}
+func (quiet) FirstToken(int, time.Duration)                  {}
+func (quiet) Dispatched(bool, decide.Outcome, time.Duration) {}
+func (quiet) Refused(int)                                    {}
+func (quiet) Released(string)                                {}
+
+// rig is a server on a real socket before a planner that sheds.
+type rig struct {
+	t       *testing.T
+	s       *Server
+	planner *shedding
+	ln      *hookedListener
+	served  chan error
+}
+
+func newRig(t *testing.T, h hooks, faults ...error) *rig {
+	ln, err := loopback.Listen("127.0.0.1")
+	require.NoError(t, err)
+	r := &rig{t: t, planner: &shedding{}, ln: &hookedListener{Listener: ln, errors: faults, hooks: h}, served: make(chan error, 1)}
+	log := slog.New(slog.DiscardHandler)
+	e := edge.New(edge.Options{Engines: noEngines{}, OneName: true, LetGo: time.Second, Log: log, Observe: quiet{}, Probe: func(context.Context, string) ([]float64, error) {
+		return nil, engine.ErrNotAsked
+	}})
+	r.planner.e = e
+	e.Plan(r.planner)
+	r.s = New(Options{Listener: r.ln, Edge: e, Workloads: []string{"chat"}, MaxConns: 64, MaxBodies: 1 << 20, Margin: 10 * time.Millisecond, StreamMost: time.Minute, Log: log})
+	r.s.Ready()
+	go func() { r.served <- r.s.Serve() }()
+	t.Cleanup(func() {
+		ln.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		require.NoError(t, r.s.Close(ctx))
+	})
+	return r
+}
+
+func (r *rig) dial() (net.Conn, *bufio.Reader) {
+	conn, err := net.Dial("tcp", r.ln.Addr().String())
+	require.NoError(r.t, err)
+	r.t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(10 * time.Second)) //nolint:errcheck // a test
+	return conn, bufio.NewReader(conn)
+}
+
+func chatCall(id string) string {
+	const body = `{"messages":[]}`
+	return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: chat\r\nX-Deadline: 5000m\r\nContent-Length: 15\r\n\r\n" + body
+}
+
+func status(t *testing.T, r *bufio.Reader) int {
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode
+}
+
+// TestRequestCrossesTheEnd: a request that arrives in the moment in which its connection ends is never served, and the
+// connection ends in order: its client reads the answer before, which it had not read yet, and then the end, no reset.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	shorter := func(at time.Time) time.Time { // the idle time is over soon
+		if time.Until(at) > callMost {
+			return time.Now().Add(20 * time.Millisecond)
+		}
+		return at
+	}
+	for name, one := range map[string]struct {
+		first string
+		want  int
+		hooks hooks
+		ends  func(r *rig)
+	}{
+		"it leaves":               {chatCall("a"), 429, hooks{}, func(r *rig) { r.s.Leave() }},
+		"it stops":                {chatCall("a"), 429, hooks{}, func(r *rig) { r.s.Refuse(); require.NoError(r.t, r.s.Close(r.t.Context())) }},
+		"it stops, nothing said":  {"", 0, hooks{}, func(r *rig) { require.NoError(r.t, r.s.Close(r.t.Context())) }},
+		"the idle time is over":   {chatCall("a"), 429, hooks{deadline: shorter}, func(*rig) {}},
+		"the answer said so":      {strings.Replace(chatCall("a"), "Host", "Connection: close\r\nHost", 1), 429, hooks{}, func(*rig) {}},
+		"a call that can't be":    {"GARBAGE\r\n\r\n", 400, hooks{}, func(*rig) {}},
+		"a body that is not read": {strings.Replace(chatCall("a"), "Class: chat", "Class: none", 1), 400, hooks{}, func(*rig) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var conn net.Conn
+			dialed, crossed := make(chan struct{}), make(chan struct{})
+			one.hooks.closing = func() {
+				<-dialed
+				io.WriteString(conn, chatCall("crossing")) //nolint:errcheck // a reset shows below
+				close(crossed)
+			}
+			r := newRig(t, one.hooks)
+			conn, in := r.dial()
+			close(dialed)
+			_, err := io.WriteString(conn, one.first)
+			require.NoError(t, err)
+			resting := func() bool {
+				r.s.mu.Lock()
+				defer r.s.mu.Unlock()
+				return r.s.room.idle.Len()+r.s.room.spent.Len() == 1 || one.first == "" && r.s.room.silent.Len() == 1
+			}
+			for range 1000 {
+				if resting() || len(r.s.draining) > 0 {
+					break
+				}
+				time.Sleep(time.Millisecond)
+			}
+			offered := r.planner.offered.Load()
+			one.ends(r)
+			<-crossed
+			if one.want != 0 {
+				require.Equal(t, one.want, status(t, in))
+			}
+			_, err = in.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "the connection was reset")
+			require.LessOrEqual(t, r.planner.offered.Load(), max(offered, 1), "the crossing call was served")
+			require.Eventually(t, func() bool { return r.s.Conns() == 0 }, time.Second, time.Millisecond)
+		})
+	}
+}
+
+// TestEvictedAsItRests: a connection that is told to go in the moment in which its call is over and its idle time begins
+// goes at once, and does not rest.
+func TestEvictedAsItRests(t *testing.T) {
+	var r *rig
+	left := make(chan struct{})
+	var once sync.Once
+	started := make(chan struct{})
+	r = newRig(t, hooks{deadline: func(at time.Time) time.Time {
+		if time.Until(at) > callMost { // the idle time begins
+			once.Do(func() {
+				<-started
+				go func() { r.s.Leave(); close(left) }()
+				select { // it comes in between, if it can
+				case <-left:
+				case <-time.After(50 * time.Millisecond):
+				}
+			})
+		}
+		return at
+	}})
+	close(started)
+	conn, in := r.dial()
+	_, err := io.WriteString(conn, chatCall("a"))
+	require.NoError(t, err)
+	require.Equal(t, 429, status(t, in))
+	<-left
+	conn.SetReadDeadline(time.Now().Add(2 * time.Second)) //nolint:errcheck // a test
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// TestEvictedAsACallComes: a connection that is told to go after the first bytes of a call were read and before the call
+// begins is closed without it: it is not served, and nothing is reset.
+func TestEvictedAsACallComes(t *testing.T) {
+	var r *rig
+	var reads atomic.Int64
+	r = newRig(t, hooks{read: func() {
+		if reads.Add(1) == 2 {
+			r.s.Leave()
+		}
+	}})
+	conn, in := r.dial()
+	_, err := io.WriteString(conn, chatCall("a"))
+	require.NoError(t, err)
+	require.Equal(t, 429, status(t, in))
+	_, err = io.WriteString(conn, chatCall("crossing"))
+	require.NoError(t, err)
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 1, r.planner.offered.Load())
+}
+
+// TestLeavesBehindItsCalls: a client that has sent more calls than are read ahead, and closes, has left: the call that
+// runs for it is told so at once.
+func TestLeavesBehindItsCalls(t *testing.T) {
+	for name, behind := range map[string]int{"no call": 0, "a few calls": 3, "more than the buffer": 40} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, hooks{})
+			r.planner.holds = true
+			conn, _ := r.dial()
+			_, err := io.WriteString(conn, chatCall("first")+strings.Repeat(chatCall("behind"), behind))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return r.planner.offered.Load() == 1 }, time.Second, time.Millisecond)
+			closed := time.Now()
+			require.NoError(t, conn.Close())
+			require.Eventually(t, func() bool { return r.planner.left.Load() == 1 }, time.Second, time.Millisecond)
+			require.Less(t, time.Since(closed), 100*time.Millisecond)
+			require.Eventually(t, func() bool { return r.s.Conns() == 0 }, time.Second, time.Millisecond)
+			require.EqualValues(t, 1, r.planner.offered.Load(), "a call behind it was taken")
+		})
+	}
+}
+
+// TestHalfACall: a client that stops in the middle of a call and stays gets an error, and its connection's end, in time.
+func TestHalfACall(t *testing.T) {
+	whole := chatCall("half")
+	for _, sent := range []int{1, len(whole) / 2, len(whole) - 1} {
+		t.Run(whole[:sent], func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, hooks{})
+			conn, in := r.dial()
+			began := time.Now()
+			_, err := io.WriteString(conn, whole[:sent])
+			require.NoError(t, err)
+			require.Equal(t, 408, status(t, in))
+			_, err = in.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+			require.Less(t, time.Since(began), 3*time.Second)
+			require.Zero(t, r.planner.offered.Load())
+		})
+	}
+}
+
+// TestAcceptFails: whatever an accept fails with, the listener lives on, waits longer each time, and serves what comes.
+func TestAcceptFails(t *testing.T) {
+	var faults []error
+	for range 3 {
+		for _, number := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR} {
+			faults = append(faults, &net.OpError{Op: "accept", Net: "tcp", Err: number})
+		}
+	}
+	began := time.Now()
+	r := newRig(t, hooks{}, faults...)
+	conn, in := r.dial()
+	_, err := io.WriteString(conn, chatCall("a"))
+	require.NoError(t, err)
+	require.Equal(t, 429, status(t, in))
+	require.Greater(t, time.Since(began), time.Second, "it asked again at once")
+	require.NoError(t, r.ln.Close())
+	require.NoError(t, <-r.served)
+}
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -48,8 +48,6 @@
 	callMost  = 2500 * time.Millisecond // from a call's first byte to its last; from connecting for the first call
 	idleMost  = 10 * time.Second        // between two calls
 	writeMost = 5 * time.Second         // a client that doesn't read so long has left
-	lingerFor = 100 * time.Millisecond  // a refused call is read on so long, so that its answer isn't lost to a reset
-	lingerMax = 256 << 10               // and so much of it
 	flushMost = 16 << 10                // of events that came together
 )
 
@@ -62,7 +60,6 @@
 	tenants map[string]int
 	ready   atomic.Bool
 	leaving atomic.Bool // answers say that their connection closes, and it does
-	left    atomic.Bool // every connection is closed after its call
 	closing atomic.Bool // nothing is taken
 	bodies  atomic.Int64
 	active  atomic.Int64    // calls whose first byte came and that are not answered
@@ -75,18 +72,21 @@
 	streams  context.Context // ends when streams are handed over
 	handOver context.CancelFunc
 
-	mu    sync.Mutex
-	next  uint64
-	room  *room
-	conns map[uint64]net.Conn
-	ids   *ids
-	buf   sync.Pool
+	mu       sync.Mutex
+	next     uint64
+	room     *room
+	conns    map[uint64]net.Conn // of all that are not yet closed
+	left     bool                // every connection is closed after its call
+	ids      *ids
+	buf      sync.Pool
+	draining chan struct{} // holds one for each connection that is being closed in order
 }
 
 // New makes a server.
 func New(o Options) *Server {
-	s := &Server{o: o, works: map[string]int{}, tenants: map[string]int{}, room: newRoom(o.MaxConns),
-		conns: map[uint64]net.Conn{}, ids: newIDs()}
+	draining := max(drainingLeast, o.MaxConns/drainingPart)
+	s := &Server{o: o, works: map[string]int{}, tenants: map[string]int{}, room: newRoom(max(1, o.MaxConns-draining)),
+		conns: map[uint64]net.Conn{}, ids: newIDs(), draining: make(chan struct{}, draining)}
 	s.base, s.end = context.WithCancel(context.Background())
 	s.streams, s.handOver = context.WithCancel(context.Background())
 	for i, name := range o.Workloads {
@@ -105,17 +105,36 @@
 // Active is how many calls have begun to come and are not answered.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
-// Leave has each connection closed after its call, those without one at once.
+// Leave has each connection closed after its call, those between two calls at once.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
-	s.left.Store(true) // before the room is looked through, as a call's end looks the other way about
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.left = true
 	for id, more := s.room.resting(); more; id, more = s.room.resting() {
 		s.evict(id)
 	}
 }
 
+// Close has all connections closed, each after its call if it has one, and waits until they are or the context ends. The
+// listener must be closed before.
+func (s *Server) Close(ctx context.Context) error {
+	s.Leave()
+	s.mu.Lock()
+	for id, more := s.room.oldest(s.room.silent); more; id, more = s.room.oldest(s.room.silent) {
+		s.evict(id)
+	}
+	s.mu.Unlock()
+	for s.Conns() > 0 {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("front: %d connections left: %w", s.Conns(), context.Cause(ctx))
+		case <-time.After(closePoll):
+		}
+	}
+	return nil
+}
+
 // LastCalls is what holds while a router stops whose clients ask another one for the rest of a stream.
 type LastCalls struct {
 	From    time.Time // calls that come later have their first event by FirstBy, or an error
@@ -134,111 +153,8 @@
 // Refuse has every call that comes from now on answered with 503.
 func (s *Server) Refuse() { s.closing.Store(true) }
 
-// evict closes a connection; it is called with the lock, and the room has let it go.
-func (s *Server) evict(id uint64) {
-	if conn := s.conns[id]; conn != nil {
-		conn.Close() //nolint:errcheck // idle
-	}
-}
-
-// Serve accepts clients until the listener is closed.
-func (s *Server) Serve() error {
-	for {
-		conn, err := s.o.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			// Out of descriptors, or the client was gone at once: the next may do.
-			s.o.Log.Warn("accept", "err", err)
-			time.Sleep(2 * time.Millisecond)
-			continue
-		}
-		s.mu.Lock()
-		s.next++
-		id := s.next
-		evict, evicts, ok := s.room.enter(time.Now(), id)
-		if evicts {
-			s.evict(evict)
-		}
-		if ok {
-			s.conns[id] = conn
-		}
-		s.mu.Unlock()
-		if !ok { // every place has a call that runs
-			conn.SetWriteDeadline(time.Now().Add(time.Millisecond))                            //nolint:errcheck // it is closed next
-			conn.Write((&refusal{503, "all connections are in use", s.after(), true}).bytes()) //nolint:errcheck // as above
-			conn.Close()                                                                       //nolint:errcheck // nobody is served on it
-			continue
-		}
-		go s.serve(id, conn)
-	}
-}
-
 func (s *Server) after() float64 { return s.o.ComeBack.Seconds() }
 
-// client is one connection.
-type client struct {
-	s    *Server
-	id   uint64
-	conn net.Conn
-	r    *bufio.Reader
-	out  []byte
-	last bool               // no call follows
-	told bool               // the call that runs has an answer, or its beginning
-	cut  context.CancelFunc // ends the call that runs
-}
-
-func (s *Server) serve(id uint64, conn net.Conn) {
-	r := s.buf.Get().(*bufio.Reader) //nolint:forcetypeassert // of New
-	r.Reset(conn)
-	c := &client{s: s, id: id, conn: conn, r: r}
-	defer func() {
-		conn.Close() //nolint:errcheck // done with it
-		r.Reset(nil)
-		s.buf.Put(r)
-		s.mu.Lock()
-		delete(s.conns, id)
-		s.room.leave(id)
-		s.mu.Unlock()
-	}()
-	connected := time.Now()
-	for first := true; !c.last; first = false {
-		wait := idleMost
-		if first {
-			wait = callMost
-		}
-		conn.SetReadDeadline(time.Now().Add(wait)) //nolint:errcheck // a connection that is closed fails in reading
-		if _, err := r.Peek(1); err != nil {
-			return
-		}
-		arrived := time.Now()
-		until := arrived.Add(callMost)
-		if first {
-			until = connected.Add(callMost)
-		}
-		conn.SetReadDeadline(until) //nolint:errcheck // as above
-		s.mu.Lock()
-		in := s.room.call(id)
-		s.mu.Unlock()
-		if !in {
-			return
-		}
-		s.active.Add(1)
-		c.call(arrived)
-		s.active.Add(-1)
-		if len(c.out) > 4*flushMost {
-			c.out = nil
-		}
-		s.mu.Lock()
-		s.room.over(id)
-		s.mu.Unlock()
-		if s.left.Load() {
-			return
-		}
-	}
-}
-
 // call reads one call and answers it.
 func (c *client) call(arrived time.Time) {
 	h, err := http1.ReadRequest(c.r, limits)
@@ -272,12 +188,11 @@
 		c.refuse(unreadable(err))
 		return
 	}
-	var timeout net.Error
-	if errors.As(err, &timeout) && timeout.Timeout() {
+	if isTimeout(err) {
 		c.refuse(&refusal{408, "the call did not come whole in time", 0, true})
 		return
 	}
-	c.last = true // it left, or broke off
+	c.last, c.gone = true, true // it left, or broke off
 }
 
 var errNoRoom = errors.New("no memory for the body")
@@ -356,39 +271,6 @@
 		Margin: min(s.o.Margin, w.timeout/4), Whole: s.o.StreamMost, Body: func(bool, []byte) []byte { return body }, Over: over})
 }
 
-// take has the edge take a call, and watches meanwhile whether the client leaves.
-func (c *client) take(r *edge.Request) {
-	ctx, cancel := context.WithCancel(c.s.base)
-	c.told, c.cut = false, cancel
-	watched := make(chan struct{})
-	c.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // a connection that is closed fails in reading
-	go func() {
-		defer close(watched)
-		for n := c.r.Buffered() + 1; n <= bufferSize; n = c.r.Buffered() + 1 {
-			if _, err := c.r.Peek(n); err != nil {
-				var timeout net.Error
-				if !errors.As(err, &timeout) || !timeout.Timeout() {
-					cancel()
-				}
-				return
-			}
-		}
-	}()
-	_, taken := c.s.o.Edge.Take(ctx, r, c)
-	c.conn.SetReadDeadline(time.Unix(1, 0)) //nolint:errcheck // ends the watch
-	<-watched
-	if ctx.Err() != nil {
-		c.last = true
-	}
-	cancel()
-	if taken && !c.told && c.s.base.Err() != nil { // it did not leave: this router does
-		c.Abort(false)
-	}
-	if !taken {
-		c.refuse(&refusal{503, "this router has too many calls open", c.s.after(), false})
-	}
-}
-
 // Relay is of edge.Client, as are the methods below: the events go on as they came, and a stream that broke ends
 // the connection without its last chunk.
 func (c *client) Relay(ctx, _ context.Context, stream edge.Stream) edge.Answer {
@@ -458,13 +340,12 @@
 	c.conn.SetWriteDeadline(time.Now().Add(writeMost)) //nolint:errcheck // a connection that is closed fails in writing
 	_, err := c.conn.Write(b)
 	if err != nil {
-		c.last = true
+		c.last, c.gone = true, true
 	}
 	return err
 }
 
-// refuse answers with an error. Where the connection ends with it, what still comes is read for a moment: closed with
-// bytes unread the answer would be lost to a reset.
+// refuse answers with an error.
 func (c *client) refuse(r *refusal) {
 	if r.last || c.s.leaving.Load() {
 		c.last = true
@@ -474,19 +355,9 @@
 		c.s.o.Log.Debug("error answer", "conn", c.id, "status", r.status, "message", r.message, "last", c.last)
 	}
 	c.s.refused[min(5, r.status/100)].Add(1)
-	if c.write(r.bytes()) != nil || !c.last {
-		return
-	}
-	if half, can := c.conn.(interface{ CloseWrite() error }); can {
-		half.CloseWrite() //nolint:errcheck // it is closed next
-	}
-	c.conn.SetReadDeadline(time.Now().Add(lingerFor))             //nolint:errcheck // as above
-	io.Copy(io.Discard, io.LimitReader(drain{c.conn}, lingerMax)) //nolint:errcheck // as above
+	c.write(r.bytes()) //nolint:errcheck // the connection ends if it fails
 }
 
-// drain hides a connection's own ways of copying.
-type drain struct{ io.Reader }
-
 func (r *refusal) bytes() []byte {
 	body, err := json.Marshal(map[string]any{"error": map[string]string{"message": r.message}})
 	if err != nil { // a string always is
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -207,6 +208,7 @@
 	lastCut   = 1200 * time.Millisecond // before the kill; then all streams are handed over
 	lastFirst = 900 * time.Millisecond  // before the kill; by then the last calls have their first event or an error
 	lastEnd   = 400 * time.Millisecond  // before the kill; what has no event by then is aborted
+	closeMost = time.Second             // for the ends of connections that have no call
 )
 
 // killAfter is how long after SIGTERM the kill comes at the soonest.
@@ -246,8 +248,13 @@
 	for r.front.Active() > 0 && ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 	}
-	err := r.edge.Stop(ctx)
+	// Calls may still have come since that look: no connection is accepted any more, those that are open end in order,
+	// each after its call, and only then does the process.
 	r.ln.Close() //nolint:errcheck // nobody comes any more
+	last, cancel := context.WithTimeout(ctx, closeMost)
+	err := r.front.Close(last)
+	cancel()
+	err = errors.Join(err, r.edge.Stop(ctx))
 	r.end()
 	r.parts.Wait()
 	r.backend.Close()
