Steps of the wall clock, slow discoveries and lists of 3,200 engines

An engine's age was the wall clock's time less the stamp of its start: with a step of an hour an engine that has just started passes for a warm one and is pushed over. It is the one place where wall time enters (searched: time.Unix, UnixMilli, UnixNano, Round in what run uses). service/births.go compares the wall clock with the monotonic one; once they are apart by a second an engine is at most as old as by either, and as the time since the last list that lacked this start. 2. A whole list had 1 s and a watch 0.7 s beyond its hold, always: from a discovery that takes longer nothing was ever heard. discovery/patience.go gives more time after each call that took too long, 0.7, 1.4, 2.8 s and again, and has those calls ask for an answer at once, so that one which returns from silence is asked as soon as before. Pauses are spread by chance; a reload ends one. 3. A list was bounded by 256 KiB and the router by 512 engines; 3,200 engines need some 500 to 900 KB. Now 2 MiB and 8,192. Whether a list may pass the protocol's 256 KiB is a question to the operators. Tests: TestAgesOverSteps (steps of seconds and an hour, either way, here and everywhere), TestStampsAreBounded, TestSilentWatch, TestSlowDiscovery, TestReturnIsNoticed, TestMovesInARow, TestManyEngines, TestPatience; discovery three times under -race.

--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -69,16 +71,12 @@
 	return l, nil
 }
 
-// Times of a watch. It is held so briefly because what discovery would have told counts as told two seconds after the
-// hold is over, whether it arrived or not; a call that is silent for longer is made again on a new connection.
-const (
-	hold      = 2 * time.Second
-	holdLate  = 700 * time.Millisecond
-	wholeMost = 1 * time.Second
-	again     = 50 * time.Millisecond // after a failure
-	againMost = 500 * time.Millisecond
-	listMost  = 256 << 10
-)
+// A watch is held so briefly because what discovery would have told counts as told two seconds after the hold is over,
+// whether it arrived or not.
+const hold = 2 * time.Second
+
+// listMost bounds an answer, in bytes: 3,200 engines take some 200 each, more where the list is indented.
+const listMost = 2 << 20
 
 // Follower follows the list.
 type Follower struct {
@@ -94,7 +92,7 @@
 
 // New makes a follower; tell is called with each answer.
 func New(address string, tell func(*List), log *slog.Logger) *Follower {
-	t := &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, ResponseHeaderTimeout: hold + holdLate, MaxResponseHeaderBytes: 8 << 10,
+	t := &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, ResponseHeaderTimeout: hold + patienceMost, MaxResponseHeaderBytes: 8 << 10,
 		DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10, Proxy: nil}
 	return &Follower{address: address, tell: tell, log: log, transport: t, http: &http.Client{Transport: t,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
@@ -116,54 +114,70 @@
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	var at string
-	version, wait := int64(-1), again
+	version := int64(-1)
+	p := newPatience()
 	for ctx.Err() == nil {
 		f.mu.Lock()
-		if f.address != at { // the new one may count in its own way
-			at, version = f.address, -1
+		if f.address != at { // the new one may count in its own way, and answer at its own pace
+			at, version, p = f.address, -1, newPatience()
 			f.transport.CloseIdleConnections()
 		}
-		most := wholeMost
-		if version >= 0 {
-			most = hold + holdLate
+		held := time.Duration(0)
+		if version >= 0 && p.holds() {
+			held = hold
 		}
-		call, cancel := context.WithTimeout(ctx, most)
+		call, cancel := context.WithTimeout(ctx, held+p.wait())
 		f.cancel = cancel
 		f.mu.Unlock()
-		l, err := f.ask(call, at, version)
+		began := time.Now()
+		l, err := f.ask(call, at, version, held)
+		late := errors.Is(call.Err(), context.DeadlineExceeded)
 		cancel()
 		f.mu.Lock()
 		moved := f.address != at
 		f.mu.Unlock()
-		switch {
-		case moved || ctx.Err() != nil:
-		case err != nil:
-			f.log.Warn("discovery", "address", at, "err", err)
+		if moved || ctx.Err() != nil {
+			continue
+		}
+		if err == nil && version < 0 && !l.Whole {
+			err = errNotWhole
+		}
+		if err != nil {
+			pause := p.failed(late, rand.Float64())
+			f.log.Warn("discovery", "address", at, "err", err, "pause", pause)
 			f.transport.CloseIdleConnections()
-			select {
-			case <-time.After(wait):
-			case <-ctx.Done():
-			}
-			wait = min(2*wait, againMost)
-		default:
-			wait = again
-			if version < 0 && !l.Whole { // an answer to another question
-				f.log.Warn("discovery: changes where the whole list was asked for", "seq", l.Version)
-				time.Sleep(again)
-				continue
-			}
-			version = l.Version
-			if l.Whole || len(l.Hosts) > 0 {
-				f.tell(l)
-			}
+			f.rest(ctx, at, pause)
+			continue
+		}
+		p.answered(time.Since(began) - held)
+		version = l.Version
+		if l.Whole || len(l.Hosts) > 0 {
+			f.tell(l)
 		}
 	}
 }
 
-func (f *Follower) ask(ctx context.Context, address string, version int64) (*List, error) {
+var errNotWhole = errors.New("list: changes where the whole list was asked for")
+
+// rest pauses after a failure, no longer than the address stays.
+func (f *Follower) rest(ctx context.Context, at string, pause time.Duration) {
+	f.mu.Lock()
+	if f.address != at {
+		f.mu.Unlock()
+		return
+	}
+	rest, cancel := context.WithTimeout(ctx, pause)
+	f.cancel = cancel
+	f.mu.Unlock()
+	<-rest.Done()
+	cancel()
+}
+
+// ask asks for the whole list, or for what is newer than a version, for which discovery may wait so long.
+func (f *Follower) ask(ctx context.Context, address string, version int64, held time.Duration) (*List, error) {
 	u := url.URL{Scheme: "http", Host: address, Path: "/discovery/hosts"}
 	if version >= 0 {
-		u.RawQuery = "from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(hold.Milliseconds(), 10)
+		u.RawQuery = "from=" + strconv.FormatInt(version, 10) + "&hold_ms=" + strconv.FormatInt(held.Milliseconds(), 10)
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
--- a/internal/platform/service/service.go
+++ b/internal/platform/service/service.go
@@ -29,12 +29,12 @@
 // How the limits are divided. Clients hold at most a third of the descriptors for calls; each call needs one towards an
 // engine, and for a moment one more for a place or a release.
 const (
-	ownSockets   = 24  // listener, discovery, poller, standard streams, with room
-	clientPart   = 42  // percent of the others; the rest is for engines
-	memoryPart   = 70  // percent of the limit at which the collector works without pause
-	bodyPart     = 15  // percent of the limit that bodies may hold
-	gcPercent    = 50  // garbage over a small heap
-	enginesMost  = 512 // of which something is remembered
+	ownSockets   = 24   // listener, discovery, poller, standard streams, with room
+	clientPart   = 42   // percent of the others; the rest is for engines
+	memoryPart   = 70   // percent of the limit at which the collector works without pause
+	bodyPart     = 15   // percent of the limit that bodies may hold
+	gcPercent    = 50   // garbage over a small heap
+	enginesMost  = 8192 // of which something is remembered: more than twice the 3,200 of the largest fleets, as they are replaced
 	margin       = 40 * time.Millisecond
 	streamMost   = 10 * time.Minute
 	tidyEvery    = time.Second
@@ -56,6 +56,8 @@
 	parts   sync.WaitGroup
 	fault   chan error
 	figures *figures
+	clock   clock
+	births  *births // of the engines; known and tell use it one after the other
 }
 
 // Tune sets the process's limits from the configuration.
@@ -72,7 +74,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	r := &Router{c: c, log: log, ln: ln, fault: make(chan error, 2), figures: &figures{}}
+	r := &Router{c: c, log: log, ln: ln, fault: make(chan error, 2), figures: &figures{}, clock: newClock()}
+	r.births = newBirths(r.clock())
 	free := c.Sockets - ownSockets
 	clients := free * clientPart / 100
 	engines := free - clients
@@ -138,7 +141,7 @@
 
 // hand hands a list to those who need it: addresses first, so that an engine is reached as soon as it is chosen.
 func (r *Router) hand(l *discovery.List, kind decide.List) {
-	now := time.Now()
+	ages := r.births.list(r.clock(), kind != decide.ListDelta)
 	news := &link.List{Kind: kind}
 	var engines []backend.Engine
 	var gone []string
@@ -146,7 +149,7 @@
 		p, _ := h.Phase()
 		e := link.Entry{Address: h.Name, Zone: h.Zone, Cell: strconv.Itoa(h.Cell), Machine: h.Machine, Phase: p, Start: h.Born, Age: -1}
 		if h.Born > 0 {
-			e.Age = max(0, now.Sub(time.UnixMilli(h.Born)).Seconds())
+			e.Age = ages.age(h.Name, h.Born).Seconds()
 		} else {
 			e.Start = 1 // long ago is a start as any other
 		}
@@ -154,6 +157,7 @@
 		r.log.Debug("engine", "engine", h.Name, "machine", h.Machine, "zone", h.Zone, "cell", h.Cell, "health", h.Health, "age", e.Age)
 		if p == decide.Gone {
 			gone = append(gone, h.Name)
+			r.births.forget(h.Name)
 		} else {
 			engines = append(engines, backend.Engine{Name: h.Name, Address: h.Address, Drains: p == decide.Draining})
 		}
