--- a/internal/platform/standin/list.go
+++ b/internal/platform/standin/list.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,7 +21,9 @@
 	log    []discovery.List // changes, in turn
 	news   chan struct{}
 	asked  int
-	Broken string // in place of each answer, where not empty
+	Broken string               // in place of each answer, where not empty
+	told   map[string]time.Time // when an answer that has an engine as draining was first written, by engine
+	silent chan struct{}        // no call is answered until it is closed, nil for none
 	server *http.Server
 	ln     net.Listener
 }
@@ -31,7 +34,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	d := &Discovery{list: discovery.List{Whole: true, Hosts: hosts}, news: make(chan struct{}), ln: ln}
+	d := &Discovery{list: discovery.List{Whole: true, Hosts: hosts}, news: make(chan struct{}), told: map[string]time.Time{}, ln: ln}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /discovery/hosts", d.hosts)
 	d.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
@@ -59,6 +62,49 @@
 	d.Broken = text
 }
 
+// Silence has it answer nothing, calls that wait already included, until the function that it returns is called; those
+// calls are never answered.
+func (d *Discovery) Silence() (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	silent := make(chan struct{})
+	d.silent = silent
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.silent == silent {
+			d.silent = nil
+		}
+		close(silent)
+	}
+}
+
+// mute waits for the caller to give up where it is silent.
+func (d *Discovery) mute(r *http.Request) bool {
+	d.mu.Lock()
+	silent := d.silent
+	d.mu.Unlock()
+	if silent == nil {
+		return false
+	}
+	<-r.Context().Done()
+	return true
+}
+
+// Told is when a router was first told that an engine drains, the zero time for never.
+func (d *Discovery) Told(engine string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told[engine]
+}
+
+// Hosts are the engines as they are.
+func (d *Discovery) Hosts() []discovery.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.list.Hosts)
+}
+
 // Change tells of one engine.
 func (d *Discovery) Change(h discovery.Host) {
 	d.mu.Lock()
@@ -79,6 +125,9 @@
 }
 
 func (d *Discovery) hosts(w http.ResponseWriter, r *http.Request) {
+	if d.mute(r) {
+		return
+	}
 	from, watch := r.URL.Query()["from"]
 	d.mu.Lock()
 	d.asked++
@@ -100,6 +149,9 @@
 			case <-r.Context().Done():
 				return
 			}
+			if d.mute(r) {
+				return
+			}
 			d.mu.Lock()
 		}
 		answer = discovery.List{Version: d.list.Version, Hosts: []discovery.Host{}}
@@ -110,6 +162,11 @@
 		}
 	}
 	text, err := json.Marshal(answer)
+	for _, h := range answer.Hosts {
+		if _, before := d.told[h.Name]; !before && h.Health == "Terminating" {
+			d.told[h.Name] = time.Now()
+		}
+	}
 	d.mu.Unlock()
 	if err == nil {
 		w.Write(text) //nolint:errcheck // a stand-in
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -73,6 +74,7 @@
 	mu     sync.Mutex
 	calls  []*Call
 	held   map[string]map[string]time.Time // by id, by engine: since when
+	holds  []Hold                          // that have ended
 	Pause  time.Duration                   // between two events
 	Events int                             // of an answer
 	Spoil  func(c *Call, nth int) Fault    // nth call of its id and kind, from 0; nil: none
@@ -106,11 +108,41 @@
 	return n
 }
 
+// Hold is a state or a place that was held for an id, until To.
+type Hold struct {
+	ID, Engine string
+	From, To   time.Time
+}
+
+// Holds are all that were held, to now where they still are.
+func (w *World) Holds() []Hold {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := slices.Clone(w.holds)
+	for id, at := range w.held {
+		for engine, since := range at {
+			all = append(all, Hold{id, engine, since, time.Now()})
+		}
+	}
+	return all
+}
+
+// hold books that an engine holds something for an id; it is called with the lock, as is letGo.
 func (w *World) hold(id, engine string) {
 	if w.held[id] == nil {
 		w.held[id] = map[string]time.Time{}
 	}
-	w.held[id][engine] = time.Now()
+	if _, already := w.held[id][engine]; !already {
+		w.held[id][engine] = time.Now()
+	}
+}
+
+// letGo books that nothing is held for an id any more.
+func (w *World) letGo(id string) {
+	for engine, since := range w.held[id] {
+		w.holds = append(w.holds, Hold{id, engine, since, time.Now()})
+	}
+	delete(w.held, id)
 }
 
 // Engine is one engine.
@@ -232,14 +264,14 @@
 	}
 	switch c.Kind {
 	case Release:
-		delete(w.held, c.ID)
+		w.letGo(c.ID)
 	case Place:
 		if fault == None {
 			w.hold(c.ID, e.Name)
 		}
 	case Write:
 		if fault != Full && fault != Gone {
-			delete(w.held, c.ID)
+			w.letGo(c.ID)
 		}
 	}
 	return fault
