A router works with a part of a large fleet, and changes of the list touch what they name

The other routers count as far as they share the part; tenants' shares mean all. Up to 256 nothing changes. The backend keeps idle connections in one list by use, and a change of the list no longer looks through all engines. The assumption that went: that a router can look at every engine for every request. Tests: TestSubsetSize, TestSubsetsCoverTheFleet, TestSubsetIsStable, TestSubsetWithoutZone, TestWorkDoesNotGrow; TestIdleConnections, TestGoneAreForgotten, TestOthers, TestChangesDoNotGrow.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -144,7 +144,8 @@
 	do               Actions
 	now, tick        float64
 	rng, nonce       uint64
-	others, greatest float64 // how many other routers there are; the greatest value of the workloads
+	others, greatest float64 // how many other routers share the subset; the greatest value of the workloads
+	routers          float64 // in all
 	works            []Workload
 	columns          [4]int // where a report has queue, util, x0, x1
 	roles            []Role // by machine kind, as is memory
@@ -160,6 +161,7 @@
 	warm, share, window, budget float64 // of the cold rule: budget is dispatches a window at a rate of 1
 
 	engines []*engine
+	subset  []*engine    // that completions may go to
 	cells   [][2]float64 // engines ready in a cell that read, and that write: mixed ones do both
 	pools   [3]pool      // by role
 	stages  [3]stage
@@ -175,7 +177,7 @@
 	}
 	guess := stage{paceGuess, pacesGuess, lateGuess}
 	r := &Router{do: do, rng: s.Seed&math.MaxUint32 | 1<<32, nonce: s.Seed, over: s.OverShare, tick: s.Tick,
-		others: math.Max(0, float64(s.Routers-1)), works: s.Workloads, roles: s.Roles, memory: s.Memory,
+		others: math.Max(0, float64(s.Routers-1)), routers: float64(s.Routers), works: s.Workloads, roles: s.Roles, memory: s.Memory,
 		zone: s.Zone,
 		most: cmp.Or(s.MaxDispatches, dispatches), back: math.Min(s.MaxComeBack, comeBack),
 		reads: s.WritersRead, places: s.Places, cancels: s.Cancels, probes: s.Probes && len(s.Columns) > 0,
@@ -240,9 +242,13 @@
 		}
 		e.phase = f.Phase
 	}
+	r.drawSubset()
 	for i := range r.pools {
 		r.pools[i].size = 0
 	}
+	for _, e := range r.subset {
+		e.pool.size += part(e.phase == Ready)
+	}
 	clear(r.cells)
 	for _, e := range r.engines {
 		if r.now-e.heard > keepsFor { // all claims have lapsed
@@ -252,7 +258,6 @@
 			r.cells = append(r.cells, [2]float64{})
 		}
 		if e.phase == Ready {
-			e.pool.size++
 			r.cells[e.cell][0] += part(e.role != Writer)
 			r.cells[e.cell][1] += part(e.role != Reader)
 		}
@@ -356,7 +361,7 @@
 	for i := range r.pools {
 		r.pools[i].reported = [3]float64{}
 	}
-	for _, e := range r.engines {
+	for _, e := range r.subset {
 		w := math.Exp((e.reportAt-r.now)/surveyFades) * part(e.phase == Ready)
 		for i, n := range [...]float64{e.load[work].report, e.load[held].report, 1} {
 			e.pool.reported[i] += w * n
@@ -506,7 +511,7 @@
 func (c *Completion) choose(reads bool, cost func(*engine) (uncached, far float64)) *engine {
 	var best *engine
 	r, least := c.r, math.Inf(1)
-	for _, e := range r.engines {
+	for _, e := range r.subset {
 		if e.phase != Ready || !reads && e.role == Reader || reads && !r.canRead(e) || !c.maySend(e) || c.cold(e) {
 			continue
 		}
@@ -743,7 +748,7 @@
 func (r *Router) homeOf(key uint64, reads bool, weight func(*engine) float64) *engine {
 	var home *engine
 	least := math.Inf(1)
-	for _, e := range r.engines {
+	for _, e := range r.subset {
 		if key == 0 || e.phase != Ready || (e.role == Reader) != reads {
 			continue
 		}
@@ -809,7 +814,7 @@
 // guards against overload, lost writers and long prompts; it harms when reports show memory held that isn't.
 func (c *Completion) crowded() bool {
 	r, sum, memory := c.r, 0.0, 1.0
-	for _, e := range r.engines {
+	for _, e := range r.subset {
 		if e.phase == Ready && e.role != Reader {
 			sum += math.Min(e.memory, r.all(e, held))
 			memory += e.memory
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"math"
 	"math/rand"
 	"testing"
@@ -930,33 +931,64 @@
 	assert.NotContains(t, b.flush(), "rate-limit")
 }
 
-// BenchmarkTake is a completion from its taking to its end, read and written, before 100 engines that report.
-func BenchmarkTake(b *testing.B) {
+// sizedFleet is a fleet of so many engines in cells of ten, three readers in each, in three zones, by the router of the
+// first, where each router's part of the fleet is the same at every size.
+func sizedFleet(tb testing.TB, engines int) *Router {
 	s, facts := settings(), []Fact{}
-	s.Routers, s.Columns = 100, []string{"queue", "util", "x0", "x1"}
-	for i := range 100 {
-		facts = append(facts, ready(i, int(part(i%10 >= 3)), i/10, longAgo))
+	s.Routers, s.Columns = engines, []string{"queue", "util", "x0", "x1"}
+	for i := range engines {
+		f := ready(i, int(part(i%10 >= 3)), i/10, longAgo)
+		f.Zone = i / 10 % 3
+		facts = append(facts, f)
 	}
 	r, err := New(s, &book{ends: map[uint64]int{}, held: map[uint64]bool{}, calls: map[uint64][]int{}})
-	if err != nil {
-		b.Fatal(err)
-	}
+	require.NoError(tb, err)
 	r.Listed(ListFull, facts)
-	now := 0.0
-	for i := range uint64(b.N) {
-		now += 0.02
-		r.At(now)
-		p := prompt(0, 2000)
-		p.Session, p.Shared, p.SharedLen = i%5000+1, i%50+1, 1500
-		h := r.Take(i, p)
-		for _, o := range []Outcome{Read, Finished} {
-			if !h.Over() {
-				h.Ended(len(h.sent)-1, o, 0.1, o == Finished, 1500, []float64{1, 0.2, 0.2, 0.5})
-			}
+	return r
+}
+
+// serveOne is a completion from its taking to its end, read and written.
+func serveOne(r *Router, i uint64) {
+	r.At(float64(i) * 0.02)
+	p := prompt(0, 2000)
+	p.Session, p.Shared, p.SharedLen = i%5000+1, i%50+1, 1500
+	h := r.Take(i, p)
+	for _, o := range []Outcome{Read, Finished} {
+		if !h.Over() {
+			h.Ended(len(h.sent)-1, o, 0.1, o == Finished, 1500, []float64{1, 0.2, 0.2, 0.5})
 		}
 	}
 }
 
+func BenchmarkTake(b *testing.B) {
+	for _, engines := range []int{100, 200, 3200} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			r := sizedFleet(b, engines)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range uint64(b.N) {
+				serveOne(r, i)
+			}
+		})
+	}
+}
+
+// BenchmarkListed is a change of one engine, which is replaced by another.
+func BenchmarkListed(b *testing.B) {
+	for _, engines := range []int{200, 3200} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			r := sizedFleet(b, engines)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				f := ready(i%engines, int(part(i%10 >= 3)), i%engines/10, float64(i))
+				f.Zone = i % engines / 10 % 3
+				r.Listed(ListDelta, []Fact{f})
+			}
+		})
+	}
+}
+
 // TestPicksOnce: engines whose reports are fresh are picked once, whether probes are allowed or not.
 func TestPicksOnce(t *testing.T) {
 	draws := func(probes bool) (n int) {
--- /dev/null
+++ b/decide/subset_test.go
@@ -0,0 +1,135 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bigFleet is a fleet of cells of five, two readers and three writers each, in three zones.
+func bigFleet(engines int) (facts []Fact) {
+	for i := range engines {
+		f := ready(i, int(part(i%5 >= 2)), i/5, longAgo)
+		f.Zone = i / 5 % 3
+		facts = append(facts, f)
+	}
+	return facts
+}
+
+func routerOf(t *testing.T, seed uint64, routers int, facts []Fact) *Router {
+	r, _ := start(t, func(s *Settings) { s.Seed, s.Routers = seed*0x9e3779b97f4a7c15+1, routers }, facts)
+	return r
+}
+
+// TestSubsetSize: a small fleet is worked with as a whole; of a large one a part that does not grow with it, most of it
+// in the own zone, with readers and writers, in whole cells.
+func TestSubsetSize(t *testing.T) {
+	for _, engines := range []int{20, 100, 256} {
+		r := routerOf(t, 1, 100, bigFleet(engines))
+		assert.Len(t, r.subset, engines)
+		assert.InDelta(t, 99, r.others, 0)
+	}
+	for _, engines := range []int{300, 800, 1600, 3200} {
+		for seed := range uint64(20) {
+			r := routerOf(t, seed, 900, bigFleet(engines))
+			roles, own, cells := [3]int{}, 0, map[int]int{}
+			for _, e := range r.subset {
+				roles[e.role]++
+				cells[e.cell]++
+				if e.zone == r.zone {
+					own++
+				}
+			}
+			size := len(r.subset)
+			require.Less(t, float64(size), 1.6*subsetMost, "%d engines", engines)
+			require.Greater(t, float64(size), 0.5*subsetMost, "%d engines", engines)
+			require.Greater(t, roles[Reader]*3, size, "two in five are readers")
+			require.Greater(t, roles[Writer]*2, size, "three in five are writers")
+			require.Greater(t, own*3, size, "%d engines: the own zone's part", engines)
+			for cell, n := range cells {
+				require.Equal(t, 5, n, "cell %d is not whole", cell)
+			}
+			require.InDelta(t, 900*float64(size)/float64(engines)-1, r.others, 1, "those who share it")
+		}
+	}
+}
+
+// TestSubsetsCoverTheFleet: all routers together work with every engine, and with each about as much.
+func TestSubsetsCoverTheFleet(t *testing.T) {
+	const routers, engines = 900, 1600
+	facts, times, sum := bigFleet(engines), make([]float64, engines), 0.0
+	for seed := range uint64(routers) {
+		r, _ := start(t, func(s *Settings) { s.Seed, s.Routers, s.Zone = seed*0x9e3779b97f4a7c15+1, routers, int(seed%3) }, facts)
+		for _, e := range r.subset {
+			times[e.id]++
+			sum++
+		}
+	}
+	for id, n := range times {
+		mean := sum / engines
+		require.InDelta(t, mean, n, mean/2, "engine %d", id)
+	}
+}
+
+// TestSubsetIsStable: an engine that is replaced, drains or comes back changes nothing else of the part.
+func TestSubsetIsStable(t *testing.T) {
+	facts := bigFleet(1600)
+	r := routerOf(t, 3, 900, facts)
+	before := map[int]bool{}
+	for _, e := range r.subset {
+		before[e.id] = true
+	}
+	changed := r.subset[7].id
+	f := facts[changed]
+	for _, phase := range []Phase{Draining, Gone, Ready} {
+		f.Phase, f.Started = phase, 1
+		r.Listed(ListDelta, []Fact{f})
+		now := map[int]bool{}
+		for _, e := range r.subset {
+			now[e.id] = true
+			require.Equal(t, Ready, e.phase)
+		}
+		for id := range before {
+			require.Equal(t, id != changed || phase == Ready, now[id], "engine %d, phase %d", id, phase)
+		}
+		require.LessOrEqual(t, len(now), len(before))
+	}
+}
+
+// TestSubsetWithoutZone: where the own zone is lost, or only one role is left in the part, requests are served elsewhere.
+func TestSubsetWithoutZone(t *testing.T) {
+	facts := bigFleet(1600)
+	for i := range facts {
+		if facts[i].Zone == 0 {
+			facts[i].Phase = Gone
+		}
+	}
+	r := routerOf(t, 5, 900, facts)
+	require.Greater(t, float64(len(r.subset)), 0.5*subsetMost)
+	for i := range facts {
+		if facts[i].Kind == 0 && i > 20 { // a handful of readers are left
+			facts[i].Phase = Gone
+		}
+	}
+	r.Listed(ListFull, facts)
+	readers := 0
+	for _, e := range r.subset {
+		readers += int(part(e.phase == Ready && e.role == Reader))
+	}
+	require.Positive(t, readers)
+}
+
+// TestWorkDoesNotGrow: a request costs no more memory before 3,200 engines than before 200, and looks at no more
+// engines than subsetMost and chance allow.
+func TestWorkDoesNotGrow(t *testing.T) {
+	allocations := func(engines int) float64 {
+		r, i := sizedFleet(t, engines), uint64(0)
+		return testing.AllocsPerRun(500, func() { serveOne(r, i); i++ })
+	}
+	small, large := allocations(200), allocations(3200)
+	t.Log(fmt.Sprintf("allocations of a request: %.1f before 200 engines, %.1f before 3,200", small, large))
+	assert.LessOrEqual(t, large, 1.4*small)
+	assert.LessOrEqual(t, float64(len(sizedFleet(t, 3200).subset)), 1.6*subsetMost)
+}
--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -7,12 +7,12 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -45,24 +45,7 @@
 	mu      sync.Mutex
 	targets map[string]*target // by name
 	names   []string           // of all, in the list's order
-}
-
-// target is an engine as it is reached.
-type target struct {
-	address string
-	listed  bool
-	drains  bool
-	goneAt  time.Time
-	heard   time.Time // when it last answered
-	idle    []*conn   // last used last
-}
-
-// conn is a connection to an engine.
-type conn struct {
-	net.Conn
-	r     *bufio.Reader
-	t     *target
-	since time.Time // idle
+	idle    *list.List         // of *conn, those unused for longest first
 }
 
 // The bounds of what an engine sends. No body exceeds 256 KiB.
@@ -86,7 +69,7 @@
 
 // New makes a client.
 func New(o Options) *Client {
-	c := &Client{o: o, targets: map[string]*target{}}
+	c := &Client{o: o, targets: map[string]*target{}, idle: list.New()}
 	next := o.Dial
 	if next == nil {
 		next = (&net.Dialer{Timeout: o.ConnectTimeout, KeepAlive: -1}).DialContext
@@ -96,130 +79,6 @@
 	return c
 }
 
-// Engine is where an engine is reached, and whether it drains.
-type Engine struct {
-	Name, Address string
-	Drains        bool
-}
-
-// Listed tells of engines that are new or moved. whole: all others have left.
-func (c *Client) Listed(whole bool, engines []Engine, gone []string) {
-	now := time.Now()
-	var drop []*conn
-	c.mu.Lock()
-	if whole {
-		for _, t := range c.targets {
-			t.listed = false
-		}
-	}
-	for _, e := range engines {
-		t := c.targets[e.Name]
-		if t == nil {
-			t = &target{}
-			c.targets[e.Name] = t
-			c.names = append(c.names, e.Name)
-		}
-		if t.address != e.Address {
-			drop = append(drop, t.empty()...)
-		}
-		t.address, t.listed, t.drains = e.Address, true, e.Drains
-	}
-	for _, name := range gone {
-		if t := c.targets[name]; t != nil {
-			t.listed = false
-		}
-	}
-	c.names = slices.DeleteFunc(c.names, func(name string) bool {
-		t := c.targets[name]
-		switch {
-		case t.listed:
-			t.goneAt = time.Time{}
-		case t.goneAt.IsZero():
-			t.goneAt = now
-			drop = append(drop, t.empty()...)
-		case now.Sub(t.goneAt) > targetRests:
-			drop = append(drop, t.empty()...)
-			delete(c.targets, name)
-			return true
-		}
-		return false
-	})
-	c.mu.Unlock()
-	closeAll(drop)
-}
-
-func closeAll(conns []*conn) {
-	for _, one := range conns {
-		one.Close() //nolint:errcheck // idle
-	}
-}
-
-// empty takes all idle connections; it is called with the client's lock.
-func (t *target) empty() []*conn {
-	all := t.idle
-	t.idle = nil
-	return all
-}
-
-// dropIdle closes the idle connection that was used longest ago, so that another can be made.
-func (c *Client) dropIdle() {
-	c.mu.Lock()
-	var oldest *target
-	for _, name := range c.names {
-		if t := c.targets[name]; len(t.idle) > 0 && (oldest == nil || t.idle[0].since.Before(oldest.idle[0].since)) {
-			oldest = t
-		}
-	}
-	var one *conn
-	if oldest != nil {
-		one = oldest.idle[0]
-		oldest.idle = slices.Delete(oldest.idle, 0, 1)
-	}
-	c.mu.Unlock()
-	if one != nil {
-		one.Close() //nolint:errcheck // idle
-	}
-}
-
-// Tidy closes connections that were idle too long; it is called now and then.
-func (c *Client) Tidy() {
-	var drop []*conn
-	now := time.Now()
-	c.mu.Lock()
-	for _, t := range c.targets {
-		n := 0
-		for n < len(t.idle) && now.Sub(t.idle[n].since) > c.o.IdleConn/idlePart {
-			n++
-		}
-		drop = append(drop, t.idle[:n]...)
-		t.idle = slices.Delete(t.idle, 0, n)
-	}
-	c.mu.Unlock()
-	closeAll(drop)
-}
-
-// Close closes idle connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	var drop []*conn
-	for _, t := range c.targets {
-		drop = append(drop, t.empty()...)
-	}
-	c.mu.Unlock()
-	closeAll(drop)
-	c.dialer.Close()
-}
-
-// Idle is how many connections are kept.
-func (c *Client) Idle() (n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, t := range c.targets {
-		n += len(t.idle)
-	}
-	return n
-}
-
 // Errors of calls of which nothing was written, and which tell nothing of the engine.
 var (
 	errUnknown = errors.New("an engine that is not on the list")
@@ -242,7 +101,7 @@
 		c.mu.Lock()
 		if n := len(t.idle); n > 0 {
 			one = t.idle[n-1]
-			t.idle = t.idle[:n-1]
+			c.takeOut(one)
 		}
 		c.mu.Unlock()
 		if one == nil {
@@ -305,6 +164,7 @@
 	keep := one.t.listed && len(one.t.idle) < keptMost
 	if keep {
 		one.t.idle = append(one.t.idle, one)
+		one.at = c.idle.PushBack(one)
 	}
 	c.mu.Unlock()
 	if !keep {
@@ -318,7 +178,7 @@
 	c.mu.Lock()
 	var drop []*conn
 	if t := c.targets[name]; t != nil {
-		drop = t.empty()
+		drop = c.empty(t)
 	}
 	c.mu.Unlock()
 	closeAll(drop)
@@ -581,21 +441,6 @@
 	releaseTry = 40 * time.Millisecond
 )
 
-// others are engines to ask for a release in another's place, first those that were heard of last: that one may be cut
-// off.
-func (c *Client) others(name string) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var all []string
-	for _, other := range c.names {
-		if other != name && c.targets[other].listed {
-			all = append(all, other)
-		}
-	}
-	slices.SortStableFunc(all, func(a, b string) int { return c.targets[b].heard.Compare(c.targets[a].heard) })
-	return all[:min(len(all), releaseAt-1)]
-}
-
 // Probe asks an engine for its load.
 func (c *Client) Probe(ctx context.Context, name string) ([]float64, error) {
 	if !c.o.Probes {
--- /dev/null
+++ b/internal/platform/backend/pool.go
@@ -0,0 +1,192 @@
+package backend
+
+import (
+	"bufio"
+	"container/list"
+	"net"
+	"slices"
+	"time"
+)
+
+// target is an engine as it is reached.
+type target struct {
+	address string
+	listed  bool
+	drains  bool
+	goneAt  time.Time
+	heard   time.Time // when it last answered
+	idle    []*conn   // last used last
+}
+
+// conn is a connection to an engine.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	t     *target
+	since time.Time     // idle
+	at    *list.Element // among all that are idle
+}
+
+// Engine is where an engine is reached, and whether it drains.
+type Engine struct {
+	Name, Address string
+	Drains        bool
+}
+
+// Listed tells of engines that are new or moved. whole: all others have left. What changes costs no more the more engines
+// there are.
+func (c *Client) Listed(whole bool, engines []Engine, gone []string) {
+	now := time.Now()
+	var drop []*conn
+	c.mu.Lock()
+	if whole {
+		gone = c.unnamed(engines)
+	}
+	for _, e := range engines {
+		t := c.targets[e.Name]
+		if t == nil {
+			t = &target{}
+			c.targets[e.Name] = t
+			c.names = append(c.names, e.Name)
+		}
+		if t.address != e.Address {
+			drop = append(drop, c.empty(t)...)
+		}
+		t.address, t.listed, t.drains, t.goneAt = e.Address, true, e.Drains, time.Time{}
+	}
+	for _, name := range gone {
+		if t := c.targets[name]; t != nil && t.listed {
+			t.listed, t.goneAt = false, now
+			drop = append(drop, c.empty(t)...)
+		}
+	}
+	c.mu.Unlock()
+	closeAll(drop)
+}
+
+// unnamed are the engines known that are not among those named; it is called with the lock.
+func (c *Client) unnamed(engines []Engine) (left []string) {
+	named := make(map[string]bool, len(engines))
+	for _, e := range engines {
+		named[e.Name] = true
+	}
+	for _, name := range c.names {
+		if !named[name] {
+			left = append(left, name)
+		}
+	}
+	return left
+}
+
+func closeAll(conns []*conn) {
+	for _, one := range conns {
+		one.Close() //nolint:errcheck // idle
+	}
+}
+
+// takeOut takes an idle connection from those kept; it is called with the lock.
+func (c *Client) takeOut(one *conn) {
+	c.idle.Remove(one.at)
+	one.at = nil
+	idle := one.t.idle
+	if last := len(idle) - 1; idle[last] == one { // as it is for nearly all
+		one.t.idle = idle[:last]
+		return
+	}
+	one.t.idle = slices.DeleteFunc(idle, func(other *conn) bool { return other == one })
+}
+
+// empty takes all idle connections of an engine; it is called with the lock.
+func (c *Client) empty(t *target) (all []*conn) {
+	for len(t.idle) > 0 {
+		one := t.idle[len(t.idle)-1]
+		c.takeOut(one)
+		all = append(all, one)
+	}
+	return all
+}
+
+// unusedFor takes out the connection that is unused for longest, if it is for as long; nil if none is. It is called with
+// the lock.
+func (c *Client) unusedFor(least time.Duration) *conn {
+	first := c.idle.Front()
+	if first == nil {
+		return nil
+	}
+	one := first.Value.(*conn) //nolint:forcetypeassert // nothing else is in it
+	if time.Since(one.since) < least {
+		return nil
+	}
+	c.takeOut(one)
+	return one
+}
+
+// dropIdle closes the idle connection that was used longest ago, so that another can be made.
+func (c *Client) dropIdle() {
+	c.mu.Lock()
+	one := c.unusedFor(0)
+	c.mu.Unlock()
+	if one != nil {
+		one.Close() //nolint:errcheck // idle
+	}
+}
+
+// Tidy closes connections that were idle too long and forgets engines that are long gone; it is called now and then.
+func (c *Client) Tidy() {
+	var drop []*conn
+	now := time.Now()
+	c.mu.Lock()
+	for one := c.unusedFor(c.o.IdleConn / idlePart); one != nil; one = c.unusedFor(c.o.IdleConn / idlePart) {
+		drop = append(drop, one)
+	}
+	c.names = slices.DeleteFunc(c.names, func(name string) bool {
+		t := c.targets[name]
+		lapsed := !t.listed && now.Sub(t.goneAt) > targetRests
+		if lapsed {
+			delete(c.targets, name)
+		}
+		return lapsed
+	})
+	c.mu.Unlock()
+	closeAll(drop)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	var drop []*conn
+	c.mu.Lock()
+	for one := c.unusedFor(0); one != nil; one = c.unusedFor(0) {
+		drop = append(drop, one)
+	}
+	c.mu.Unlock()
+	closeAll(drop)
+	c.dialer.Close()
+}
+
+// Idle is how many connections are kept.
+func (c *Client) Idle() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle.Len()
+}
+
+// others are engines to ask for a release in another's place, first those that were heard of last: that one may be cut
+// off.
+func (c *Client) others(name string) (latest []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, other := range c.names {
+		if other == name || !c.targets[other].listed {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(latest, c.targets[other].heard, func(one string, heard time.Time) int {
+			return heard.Compare(c.targets[one].heard)
+		})
+		if at >= releaseAt-1 {
+			continue
+		}
+		latest = slices.Insert(latest, at, other)
+		latest = latest[:min(len(latest), releaseAt-1)]
+	}
+	return latest
+}
--- /dev/null
+++ b/internal/platform/backend/pool_test.go
@@ -0,0 +1,132 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// pipeTo keeps an idle connection to an engine and returns the engine's side.
+func pipeTo(c *Client, name string) net.Conn {
+	near, far := net.Pipe()
+	c.put(&conn{Conn: near, r: bufio.NewReader(near), t: c.targets[name]})
+	return far
+}
+
+func isClosed(far net.Conn) bool {
+	far.SetReadDeadline(time.Now()) //nolint:errcheck // a test
+	_, err := far.Read(make([]byte, 1))
+	var timeout net.Error
+	if asNet, is := err.(net.Error); is {
+		timeout = asNet
+	}
+	return timeout == nil || !timeout.Timeout()
+}
+
+func poolOf(names ...string) *Client {
+	c := New(Options{IdleConn: 10 * time.Second, MaxConns: 16, ConnectTimeout: time.Second})
+	var engines []Engine
+	for _, name := range names {
+		engines = append(engines, Engine{Name: name, Address: name})
+	}
+	c.Listed(true, engines, nil)
+	return c
+}
+
+// TestIdleConnections: the one unused for longest goes first, of whichever engine; those to an engine that moves, or is
+// gone, go with it; Tidy closes what was idle for half of an engine's own time.
+func TestIdleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := poolOf("a", "b", "c")
+		defer c.Close()
+		a1 := pipeTo(c, "a")
+		time.Sleep(time.Second)
+		b1 := pipeTo(c, "b")
+		time.Sleep(time.Second)
+		a2, c1 := pipeTo(c, "a"), pipeTo(c, "c")
+		require.Equal(t, 4, c.Idle())
+		c.dropIdle()
+		require.True(t, isClosed(a1))
+		require.False(t, isClosed(b1) || isClosed(a2) || isClosed(c1))
+		time.Sleep(4500 * time.Millisecond) // b1 is idle for 5.5 s
+		c.Tidy()
+		require.True(t, isClosed(b1))
+		require.Equal(t, 2, c.Idle())
+		c.Listed(false, []Engine{{Name: "a", Address: "elsewhere"}}, []string{"c"})
+		require.True(t, isClosed(a2) && isClosed(c1))
+		require.Zero(t, c.Idle())
+	})
+}
+
+// TestGoneAreForgotten: an engine that left is still known for a while, for releases, and not for good; one that comes
+// back meanwhile stays.
+func TestGoneAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := poolOf("a", "b", "c")
+		defer c.Close()
+		c.Listed(false, nil, []string{"a"})
+		c.Listed(true, []Engine{{Name: "c", Address: "c"}}, nil) // b has left too
+		time.Sleep(targetRests / 2)
+		c.Listed(false, []Engine{{Name: "b", Address: "b"}}, nil)
+		c.Tidy()
+		require.Len(t, c.targets, 3)
+		time.Sleep(targetRests)
+		c.Tidy()
+		require.Equal(t, []string{"b", "c"}, c.names)
+		require.Len(t, c.targets, 2)
+	})
+}
+
+// TestOthers: a release is asked first of those that were heard of last.
+func TestOthers(t *testing.T) {
+	c := poolOf("a", "b", "c", "d", "e", "f")
+	defer c.Close()
+	for i, name := range []string{"c", "e", "a", "f"} {
+		c.targets[name].heard = time.Now().Add(time.Duration(i) * time.Second)
+	}
+	require.Equal(t, []string{"a", "e", "c"}, c.others("f"))
+	c.Listed(false, nil, []string{"e"})
+	require.Equal(t, []string{"f", "a", "c"}, c.others("b"))
+}
+
+func changed(c *Client, engines int) func() {
+	n := 0
+	return func() {
+		name := fmt.Sprint("engine-", n%engines)
+		c.Listed(false, nil, []string{name})
+		c.Listed(false, []Engine{{Name: name, Address: "x"}}, nil)
+		n++
+	}
+}
+
+func sized(engines int) *Client {
+	var names []string
+	for n := range engines {
+		names = append(names, fmt.Sprint("engine-", n))
+	}
+	return poolOf(names...)
+}
+
+// TestChangesDoNotGrow: a change of the list costs no more memory before 3,200 engines than before 200.
+func TestChangesDoNotGrow(t *testing.T) {
+	small, large := testing.AllocsPerRun(200, changed(sized(200), 200)), testing.AllocsPerRun(200, changed(sized(3200), 3200))
+	t.Logf("allocations of a change: %.1f before 200 engines, %.1f before 3,200", small, large)
+	require.LessOrEqual(t, large, small+1)
+}
+
+func BenchmarkListed(b *testing.B) {
+	for _, engines := range []int{200, 3200} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			change := changed(sized(engines), engines)
+			b.ReportAllocs()
+			for b.Loop() {
+				change()
+			}
+		})
+	}
+}
