A router that leaves ends all its connections in order, and a call with little time is tested

Now one is drained as long as all that are open, those that end included, are within the clients' descriptors, of which an eighth is kept for them: in a flood as before, in a stop all. Tests: TestAllEndInOrder (all places rest, a call crosses each end; with a bound of 8 it fails by a reset), TestLittleTime.

--- a/internal/platform/front/closing_test.go
+++ b/internal/platform/front/closing_test.go
@@ -36,9 +36,10 @@
 // hooks are called on the server's side of a connection: before its sending side is shut or it is closed, whichever is
 // first, with each read deadline, which may be replaced, and with what was read.
 type hooks struct {
-	closing  func()
-	deadline func(time.Time) time.Time
-	read     func() // after bytes were read, before they are handed on
+	closing   func()
+	closingOf func(remote string)
+	deadline  func(time.Time) time.Time
+	read      func() // after bytes were read, before they are handed on
 }
 
 func (l *hookedListener) Accept() (net.Conn, error) {
@@ -65,9 +66,14 @@
 }
 
 func (c *hookedConn) closes() {
-	if c.hooks.closing != nil {
-		c.once.Do(c.hooks.closing)
-	}
+	c.once.Do(func() {
+		if c.hooks.closing != nil {
+			c.hooks.closing()
+		}
+		if c.hooks.closingOf != nil {
+			c.hooks.closingOf(c.RemoteAddr().String())
+		}
+	})
 }
 
 func (c *hookedConn) CloseWrite() error { c.closes(); return c.TCPConn.CloseWrite() }
@@ -216,7 +222,7 @@
 				return r.s.room.idle.Len()+r.s.room.spent.Len() == 1 || one.first == "" && r.s.room.silent.Len() == 1
 			}
 			for range 1000 {
-				if resting() || len(r.s.draining) > 0 {
+				if resting() || ended(crossed) {
 					break
 				}
 				time.Sleep(time.Millisecond)
@@ -235,6 +241,46 @@
 	}
 }
 
+func ended(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestAllEndInOrder: where a router leaves, all of its resting connections end in order, however many there are: the
+// answers that their clients have not read yet come whole, though a call crosses each end.
+func TestAllEndInOrder(t *testing.T) {
+	var r *rig
+	var conns sync.Map // of clients, by their addresses
+	r = newRig(t, hooks{closingOf: func(remote string) {
+		if conn, known := conns.Load(remote); known {
+			io.WriteString(conn.(net.Conn), chatCall("crossing")) //nolint:errcheck // a reset shows below
+		}
+	}})
+	var readers []*bufio.Reader
+	for range r.s.room.most {
+		conn, in := r.dial()
+		conns.Store(conn.LocalAddr().String(), conn)
+		_, err := io.WriteString(conn, chatCall("a"+conn.LocalAddr().String()[len("127.0.0.1:"):]))
+		require.NoError(t, err)
+		readers = append(readers, in)
+	}
+	require.Eventually(t, func() bool {
+		r.s.mu.Lock()
+		defer r.s.mu.Unlock()
+		return r.s.room.idle.Len() == len(readers)
+	}, 2*time.Second, time.Millisecond)
+	r.s.Leave()
+	for _, in := range readers {
+		require.Equal(t, 429, status(t, in))
+		_, err := in.ReadByte()
+		require.ErrorIs(t, err, io.EOF, "the connection was reset")
+	}
+}
+
 // TestEvictedAsItRests: a connection that is told to go in the moment in which its call is over and its idle time begins
 // goes at once, and does not rest.
 func TestEvictedAsItRests(t *testing.T) {
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -18,11 +18,11 @@
 // The bounds of a connection's end. Closed over unread bytes a connection is reset, and with it goes what its client has
 // not read yet; so its sending side is shut first, and what still comes is read and dropped for a while.
 const (
-	drainFor      = 100 * time.Millisecond
-	drainBytes    = 256 << 10
-	drainingPart  = 8 // of the connections, so many may be in that state; past it one is closed at once
-	drainingLeast = 4
-	closePoll     = 2 * time.Millisecond
+	drainFor   = 100 * time.Millisecond
+	drainBytes = 256 << 10
+	drainPart  = 8 // of the descriptors for clients, so many are kept for connections that end, but 4 at the least
+	drainLeast = 4
+	closePoll  = 2 * time.Millisecond
 )
 
 // The pauses after an accept that failed: the listener lives on, whatever it was.
@@ -106,13 +106,10 @@
 	if !can {
 		return
 	}
-	select {
-	case s.draining <- struct{}{}:
-		defer func() { <-s.draining }()
-	default: // a flood: its connections are not worth the descriptors
-		return
-	}
-	if half.CloseWrite() != nil {
+	s.mu.Lock()
+	flood := len(s.conns) > s.o.MaxConns // its connections are not worth the descriptors
+	s.mu.Unlock()
+	if flood || half.CloseWrite() != nil {
 		return
 	}
 	conn.SetReadDeadline(time.Now().Add(drainFor))                    //nolint:errcheck // a connection that is closed fails in reading
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -72,21 +72,19 @@
 	streams  context.Context // ends when streams are handed over
 	handOver context.CancelFunc
 
-	mu       sync.Mutex
-	next     uint64
-	room     *room
-	conns    map[uint64]net.Conn // of all that are not yet closed
-	left     bool                // every connection is closed after its call
-	ids      *ids
-	buf      sync.Pool
-	draining chan struct{} // holds one for each connection that is being closed in order
+	mu    sync.Mutex
+	next  uint64
+	room  *room
+	conns map[uint64]net.Conn // of all that are not yet closed
+	left  bool                // every connection is closed after its call
+	ids   *ids
+	buf   sync.Pool
 }
 
 // New makes a server.
 func New(o Options) *Server {
-	draining := max(drainingLeast, o.MaxConns/drainingPart)
-	s := &Server{o: o, works: map[string]int{}, tenants: map[string]int{}, room: newRoom(max(1, o.MaxConns-draining)),
-		conns: map[uint64]net.Conn{}, ids: newIDs(), draining: make(chan struct{}, draining)}
+	places := max(1, o.MaxConns-max(drainLeast, o.MaxConns/drainPart))
+	s := &Server{o: o, works: map[string]int{}, tenants: map[string]int{}, room: newRoom(places), conns: map[uint64]net.Conn{}, ids: newIDs()}
 	s.base, s.end = context.WithCancel(context.Background())
 	s.streams, s.handOver = context.WithCancel(context.Background())
 	for i, name := range o.Workloads {
--- a/internal/platform/service/service_test.go
+++ b/internal/platform/service/service_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -132,3 +133,21 @@
 		})
 	}
 }
+
+// TestLittleTime: a call with very little time left is answered at once, and no engine is told of more than it had.
+func TestLittleTime(t *testing.T) {
+	s := newSite(t)
+	for n, deadline := range []string{"1u", "200u", "1m", "5m", "20m"} {
+		began := time.Now()
+		status, _, err := s.send(call(fmt.Sprint("little-", n), prompt(2000), "X-Deadline: "+deadline))
+		require.NoError(t, err)
+		require.Contains(t, []int{200, 429, 500, 504}, status, deadline)
+		require.Less(t, time.Since(began), 500*time.Millisecond, deadline)
+	}
+	for _, c := range append(s.w.Calls(standin.Read), s.w.Calls(standin.Write)...) {
+		told, _ := (&http1.Head{Fields: c.Fields}).Get("x-deadline")
+		require.Contains(t, []string{"1m", "2m", "3m", "4m", "5m", "6m", "7m", "8m", "9m", "10m", "11m", "12m", "13m", "14m", "15m"}, told,
+			"of 20 ms a quarter is kept for the answer's way")
+	}
+	s.quiet()
+}
