A long prompt is read where little waits, though its own reading takes more than a wait may

Ruled out: the writers' memory (no one given up for it there), and the guessed pace (its own tokens are already left out while it is a guess). Change: where less than 0.05 of the target waits, the whole may take up to 0.7 of it (readsAtOnce). Test: TestLongReadsAtOnce, which fails without the change.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -61,6 +61,8 @@
 	fullMost    = 0.95   // share of a writer's memory; past it growing answers push others out
 	fullPool    = 0.85   // share of all writers' memory; and only when they are this full together
 	readMost    = 0.4    // latency targets; a longer read, and write, is rate-limited: times vary by half
+	idleMost    = 0.05   // latency targets; an engine at which less waits reads a longer one all the same
+	wholeMost   = 0.7    // latency targets; up to so much: times vary by half
 	nearMost    = 0.08   // latency targets; what would take longer near goes wherever it is served
 	eagerLeast  = 0.7    // share of the bounds that a completion worth nothing may use
 	shareBurst  = 2.0    // seconds of its share that a tenant may send at once, and what chance adds to that
@@ -867,13 +869,22 @@
 		if p := &r.stages[d.stage]; !near {
 			most, free = readMost, d.tokens*p.pace*math.Pow(pacesGuess/p.paces, 2)
 		}
-		if expected-free+write > most*c.eager*(c.w.Target+c.w.TargetPerToken*c.p.Len) {
+		target := c.eager * (c.w.Target + c.w.TargetPerToken*c.p.Len)
+		if expected-free+write > most*target && (near || !c.readsAtOnce(d, expected+write, target)) {
 			return nil, 0
 		}
 	}
 	return d, expected
 }
 
+// readsAtOnce tells whether a read that takes long takes it by its own tokens, behind little that waits, and is still
+// likely to be in time: what varies is the wait. It guards against long prompts given up where there is room for them; it
+// harms those that come next at that engine.
+func (c *Completion) readsAtOnce(d *dispatch, expected, target float64) bool {
+	own := d.tokens * c.r.stages[d.stage].pace
+	return expected-own < idleMost*target && expected < wholeMost*target
+}
+
 // send makes a dispatch if it fits; else it gives up. While a prompt is read, its memory at the writer is
 // booked, so that those taken meanwhile see it.
 func (c *Completion) send(e *engine) {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -918,6 +918,37 @@
 
 // TestLongAnswersStated: clients may state any number of tokens as the most that they want; a few that state far more
 // than any answer has don't make the writers look full to everybody.
+// TestLongReadsAtOnce: a long prompt is read where little waits, though its reading alone takes more than waiting may; not
+// behind what waits, and not if it would take nearly all of the target.
+func TestLongReadsAtOnce(t *testing.T) {
+	const pace = 2e-5 // seconds a token
+	for name, one := range map[string]struct {
+		tokens, waits float64 // shares of the target
+		want          string
+	}{
+		"a short one":                    {0.2, 0, "dispatch"},
+		"a short one behind some":        {0.2, 0.1, "dispatch"},
+		"a long one at once":             {0.6, 0, "dispatch"},
+		"a long one behind some":         {0.6, 0.1, "rate-limit"},
+		"one that is nearly too long":    {0.8, 0, "rate-limit"},
+		"a short one behind a long wait": {0.2, 0.5, "rate-limit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, b := start(t, nil, fleet())
+			for i := range r.stages {
+				r.stages[i] = stage{pace, 1000, lateGuess} // measured: no guess is left
+			}
+			target := r.works[0].Target / pace
+			for _, e := range r.engines {
+				e.load[work].out = one.waits * target * part(e.role == Reader)
+				e.heard = 1
+			}
+			r.Take(1, prompt(0, one.tokens*target))
+			require.Contains(t, b.flush()[0], one.want)
+		})
+	}
+}
+
 func TestLongAnswersStated(t *testing.T) {
 	r, b := start(t, nil, fleet())
 	for i := range 8 {
