What was read of a call is answered: a connection that has to go ends after it, not before

Found by reading: a request that was read and whose connection is closed with no answer is lost, and two paths did so. 1. While a call runs its client is watched by reading ahead, so that pipelined calls are in our buffer when the router begins to leave: the running call's answer said "Connection: close" and they were dropped. Change: begin takes such a call as the connection's last; rest goes on while something is buffered; an answer says that it is the last only where nothing is, and from then on nothing is read ahead (lastAnswer stops the reading, the socket is polled instead).

--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -130,6 +130,8 @@
 	gone bool               // the client has left
 	told bool               // the call that runs has an answer, or its beginning
 	cut  context.CancelFunc // ends the call that runs
+
+	parked chan struct{} // of the call that runs: is closed once nothing is read ahead; nil where none runs
 }
 
 // serve serves a connection's calls, one after the other.
@@ -152,9 +154,7 @@
 		if first {
 			until = connected.Add(callMost)
 		}
-		if !c.begin(until) {
-			return
-		}
+		c.begin(until)
 		c.call(arrived)
 		if !c.rest() {
 			return
@@ -162,20 +162,20 @@
 	}
 }
 
-// begin books that a call comes, whose last byte is awaited until then; false: the connection has to go.
-func (c *client) begin(until time.Time) bool {
+// begin books that a call comes, whose last byte is awaited until then. Some of it was read, so it gets its answer even
+// where the connection was told to go in the meantime; then it is the last one.
+func (c *client) begin(until time.Time) {
 	s := c.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.room.call(c.id) {
-		return false
+		c.last = true
 	}
 	s.active.Add(1)
 	c.conn.SetReadDeadline(until) //nolint:errcheck // a connection that is closed fails in reading
-	return true
 }
 
-// rest books that a call is over; false: no other follows.
+// rest books that a call is over; false: no other follows. One that has been read ahead does, if only in part.
 func (c *client) rest() bool {
 	s := c.s
 	s.active.Add(-1)
@@ -184,7 +184,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.left || c.last {
+	if c.last || s.left && c.r.Buffered() == 0 {
 		return false
 	}
 	s.room.over(c.id)
@@ -192,14 +192,29 @@
 	return true
 }
 
+// lastAnswer tells whether the answer that begins is the connection's last, as it then says. A router that leaves has it
+// so, unless another call has been read ahead; from then on none is.
+func (c *client) lastAnswer() bool {
+	if c.last || !c.s.leaving.Load() {
+		return c.last
+	}
+	if c.parked != nil {
+		c.conn.SetReadDeadline(longAgo) //nolint:errcheck // as in begin
+		<-c.parked
+	}
+	c.last = c.r.Buffered() == 0
+	return c.last
+}
+
 // take has the edge take a call, and watches meanwhile whether the client leaves.
 func (c *client) take(r *edge.Request) {
 	ctx, cancel := context.WithCancel(c.s.base)
 	c.told, c.cut = false, cancel
 	c.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // as in begin
 	watched, over := make(chan bool), make(chan struct{})
+	c.parked = make(chan struct{})
 	go func() {
-		left := c.watch(over)
+		left := c.watch(c.parked, over)
 		if left {
 			cancel()
 		}
@@ -211,6 +226,7 @@
 	if <-watched {
 		c.gone = true
 	}
+	c.parked = nil
 	if ctx.Err() != nil {
 		c.last = true
 	}
@@ -224,12 +240,13 @@
 }
 
 // watch tells whether the client leaves before the call is over. What it sends meanwhile is read ahead as far as the
-// buffer goes; past that its end can't be read, and the connection is asked for it.
-func (c *client) watch(over <-chan struct{}) (left bool) {
-	for n := c.r.Buffered() + 1; n <= bufferSize; n = c.r.Buffered() + 1 {
-		if _, err := c.r.Peek(n); err != nil {
-			return !isTimeout(err)
-		}
+// buffer goes, or until a read deadline ends that; past that the connection is asked for its end. parked is closed once
+// nothing is read ahead any more.
+func (c *client) watch(parked chan<- struct{}, over <-chan struct{}) (left bool) {
+	left = c.readAhead()
+	close(parked)
+	if left {
+		return true
 	}
 	tick := time.NewTicker(hangUpPoll)
 	defer tick.Stop()
@@ -245,6 +262,17 @@
 	}
 }
 
+// readAhead fills the buffer with what comes; it tells whether the client left before it was full and before the read
+// deadline.
+func (c *client) readAhead() (left bool) {
+	for n := c.r.Buffered() + 1; n <= bufferSize; n = c.r.Buffered() + 1 {
+		if _, err := c.r.Peek(n); err != nil {
+			return !isTimeout(err)
+		}
+	}
+	return false
+}
+
 // hungUp tells whether the other side has shut its sending side, though bytes that it sent before may be unread.
 func hungUp(conn net.Conn) bool {
 	s, has := conn.(syscall.Conn)
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -273,9 +273,8 @@
 // the connection without its last chunk.
 func (c *client) Relay(ctx, _ context.Context, stream edge.Stream) edge.Answer {
 	out := append(c.out[:0], "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n"...)
-	if c.s.leaving.Load() || c.last {
+	if c.lastAnswer() {
 		out = append(out, "Connection: close\r\n"...)
-		c.last = true
 	}
 	out = append(out, "\r\n"...)
 	events := []byte{}
@@ -345,10 +344,8 @@
 
 // refuse answers with an error.
 func (c *client) refuse(r *refusal) {
-	if r.last || c.s.leaving.Load() {
-		c.last = true
-	}
-	r.last = c.last
+	c.last = c.last || r.last
+	r.last = c.lastAnswer()
 	if c.s.o.Log.Enabled(context.Background(), slog.LevelDebug) { // floods come by here
 		c.s.o.Log.Debug("error answer", "conn", c.id, "status", r.status, "message", r.message, "last", c.last)
 	}
