Reread: a call's dead time-out goes, loops that slices has, one way to take out idle connections

engine.Call.Timeout was read by nobody since the time left is worked out when a call is written (Until). isAny and endsAsTransport are slices.ContainsFunc; Tidy and Close took out idle connections by the same loop; a test told a deadline by hand.

--- a/decide/subset_test.go
+++ b/decide/subset_test.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -129,7 +128,7 @@
 		return testing.AllocsPerRun(500, func() { serveOne(r, i); i++ })
 	}
 	small, large := allocations(200), allocations(3200)
-	t.Log(fmt.Sprintf("allocations of a request: %.1f before 200 engines, %.1f before 3,200", small, large))
+	t.Logf("allocations of a request: %.1f before 200 engines, %.1f before 3,200", small, large)
 	assert.LessOrEqual(t, large, 1.4*small)
 	assert.LessOrEqual(t, float64(len(sizedFleet(t, 3200).subset)), 1.6*subsetMost)
 }
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -177,7 +177,7 @@
 	if !c.e.o.OneName {
 		id += "-" + strconv.Itoa(r.n)
 	}
-	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Timeout: timeout, Until: until, Wrote: r.wasWritten,
+	return &engine.Call{Address: r.engine, ID: id, Key: c.r.Key, Trace: c.r.Trace, Target: c.r.Target, Body: body, Until: until, Wrote: r.wasWritten,
 		Heard: func(report []float64) {
 			c.e.planner.Tell(link.Fact{Kind: link.Probed, Address: r.engine, Outcome: decide.Finished, Report: report})
 		}}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -131,7 +131,6 @@
 	Trace   string // traceparent, empty for none
 	Target  string // of the call, empty for the chat call's own
 	Body    []byte
-	Timeout time.Duration          // of a read
 	Until   time.Time              // the client waits no longer for the first token; what is told of it is told when it is written
 	Wrote   func()                 // is called once the last byte is written, nil for none
 	Heard   func(report []float64) // is called with a report in the header, nil for none
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -76,21 +77,11 @@
 func isLocal(err error) bool { return isAny(err, shortages) }
 
 func isAny(err error, of []error) bool {
-	for _, one := range of {
-		if errors.Is(err, one) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(of, func(one error) bool { return errors.Is(err, one) })
 }
 
 func endsAsTransport(err error) bool {
-	for _, words := range transportBreaks {
-		if strings.Contains(err.Error(), words) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(transportBreaks, func(words string) bool { return strings.Contains(err.Error(), words) })
 }
 
 // ErrNotAsked is a probe that was not made: nothing was learnt of the engine.
--- a/internal/platform/backend/backend_test.go
+++ b/internal/platform/backend/backend_test.go
@@ -26,7 +26,7 @@
 func read(c *Client, name string) *engine.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return c.Read(ctx, &engine.Call{Address: name, ID: "x", Target: "/v1/chat/completions", Body: []byte("{}"), Timeout: time.Second,
+	return c.Read(ctx, &engine.Call{Address: name, ID: "x", Target: "/v1/chat/completions", Body: []byte("{}"),
 		Until: time.Now().Add(time.Second)})
 }
 
--- a/internal/platform/backend/pool.go
+++ b/internal/platform/backend/pool.go
@@ -121,6 +121,14 @@
 	return one
 }
 
+// allUnusedFor takes out all connections that are unused for so long; it is called with the lock.
+func (c *Client) allUnusedFor(least time.Duration) (all []*conn) {
+	for one := c.unusedFor(least); one != nil; one = c.unusedFor(least) {
+		all = append(all, one)
+	}
+	return all
+}
+
 // dropIdle closes the idle connection that was used longest ago, so that another can be made.
 func (c *Client) dropIdle() {
 	c.mu.Lock()
@@ -133,12 +141,9 @@
 
 // Tidy closes connections that were idle too long and forgets engines that are long gone; it is called now and then.
 func (c *Client) Tidy() {
-	var drop []*conn
 	now := time.Now()
 	c.mu.Lock()
-	for one := c.unusedFor(c.o.IdleConn / idlePart); one != nil; one = c.unusedFor(c.o.IdleConn / idlePart) {
-		drop = append(drop, one)
-	}
+	drop := c.allUnusedFor(c.o.IdleConn / idlePart)
 	c.names = slices.DeleteFunc(c.names, func(name string) bool {
 		t := c.targets[name]
 		lapsed := !t.listed && now.Sub(t.goneAt) > targetRests
@@ -153,11 +158,8 @@
 
 // Close closes idle connections.
 func (c *Client) Close() {
-	var drop []*conn
 	c.mu.Lock()
-	for one := c.unusedFor(0); one != nil; one = c.unusedFor(0) {
-		drop = append(drop, one)
-	}
+	drop := c.allUnusedFor(0)
 	c.mu.Unlock()
 	closeAll(drop)
 	c.dialer.Close()
--- a/internal/platform/backend/pool_test.go
+++ b/internal/platform/backend/pool_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,11 +23,7 @@
 func isClosed(far net.Conn) bool {
 	far.SetReadDeadline(time.Now()) //nolint:errcheck // a test
 	_, err := far.Read(make([]byte, 1))
-	var timeout net.Error
-	if asNet, is := err.(net.Error); is {
-		timeout = asNet
-	}
-	return timeout == nil || !timeout.Timeout()
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func poolOf(names ...string) *Client {
--- a/internal/platform/backend/ready_test.go
+++ b/internal/platform/backend/ready_test.go
@@ -78,7 +78,7 @@
 					one.meanwhile(l, cancel)
 					close(l.up)
 				}()
-				r := l.client.Read(ctx, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Timeout: given, Until: time.Now().Add(given)})
+				r := l.client.Read(ctx, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Until: time.Now().Add(given)})
 				require.Equal(t, one.want, r.Outcome, "%v", r.Err)
 				if one.want != decide.Read {
 					require.Empty(t, l.heads, "it was written")
