Calls read together are all answered, though their connection is told to go between the read and the first

Found on rereading: begin had an evicted connection's first call be its last, beside lastAnswer, which has a leaving router go on while something is read ahead: pipelined calls that came in one read were dropped unanswered. Now "told to go" is one more reason in lastAnswer and rest, under the same condition. Test: TestEvictedWithCallsRead, which fails without it; the closing tests five times under -race: clean.

--- a/internal/platform/front/closing_test.go
+++ b/internal/platform/front/closing_test.go
@@ -361,6 +361,38 @@
 	}
 }
 
+// TestEvictedWithCallsRead: of calls that were read together before their connection is told to go each gets its answer.
+func TestEvictedWithCallsRead(t *testing.T) {
+	var r *rig
+	var reads atomic.Int64
+	r = newRig(t, hooks{read: func() {
+		if reads.Add(1) != 2 {
+			return
+		}
+		r.s.mu.Lock() // as for another connection that needs the place
+		defer r.s.mu.Unlock()
+		id, found := r.s.room.resting()
+		require.True(t, found)
+		r.s.evict(id)
+	}})
+	conn, in := r.dial()
+	_, err := io.WriteString(conn, chatCall("a"))
+	require.NoError(t, err)
+	require.Equal(t, 429, status(t, in))
+	_, err = io.WriteString(conn, chatCall("b")+chatCall("c")+chatCall("d"))
+	require.NoError(t, err)
+	for n := range 3 {
+		resp, err := http.ReadResponse(in, nil)
+		require.NoError(t, err, "call %d got no answer", n)
+		_, err = io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, n == 2, resp.Close, "answer %d", n)
+	}
+	_, err = in.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.EqualValues(t, 4, r.planner.offered.Load())
+}
+
 // TestReadAheadIsAnswered: calls that were read ahead behind one that runs are answered, each once, though the router
 // begins to leave meanwhile; only the last answer says that the connection closes.
 func TestReadAheadIsAnswered(t *testing.T) {
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -128,6 +128,7 @@
 	out  []byte
 	last bool               // no call follows
 	gone bool               // the client has left
+	goes bool               // it was told to go: no call follows but those that were read
 	told bool               // the call that runs has an answer, or its beginning
 	cut  context.CancelFunc // ends the call that runs
 
@@ -163,14 +164,12 @@
 }
 
 // begin books that a call comes, whose last byte is awaited until then. Some of it was read, so it gets its answer even
-// where the connection was told to go in the meantime; then it is the last one.
+// where the connection was told to go in the meantime, and so do those that were read with it.
 func (c *client) begin(until time.Time) {
 	s := c.s
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.room.call(c.id) {
-		c.last = true
-	}
+	c.goes = !s.room.call(c.id)
 	s.active.Add(1)
 	c.conn.SetReadDeadline(until) //nolint:errcheck // a connection that is closed fails in reading
 }
@@ -184,7 +183,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.last || s.left && c.r.Buffered() == 0 {
+	if c.last || (c.goes || s.left) && c.r.Buffered() == 0 {
 		return false
 	}
 	s.room.over(c.id)
@@ -192,10 +191,10 @@
 	return true
 }
 
-// lastAnswer tells whether the answer that begins is the connection's last, as it then says. A router that leaves has it
-// so, unless another call has been read ahead; from then on none is.
+// lastAnswer tells whether the answer that begins is the connection's last, as it then says. It is where the router
+// leaves or the connection was told to go, unless another call has been read ahead; from then on none is.
 func (c *client) lastAnswer() bool {
-	if c.last || !c.s.leaving.Load() {
+	if c.last || !c.goes && !c.s.leaving.Load() {
 		return c.last
 	}
 	if c.parked != nil {
