--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -109,7 +109,7 @@
 		c := &call{engine: e, conn: number, received: time.Now()}
 		c.id, _ = h.Get("x-request-id")
 		c.deadline, _ = h.Get("x-deadline")
-		id, isRoom := strings.CutPrefix(h.Target, "/bootstrap/rooms/")
+		isRoom := strings.HasPrefix(h.Target, "/bootstrap/rooms/")
 		switch {
 		case isRoom && h.Method == "DELETE":
 			err = conn.send("HTTP/1.1 204 No Content\r\n\r\n")
@@ -123,7 +123,6 @@
 			e.run.note("engine %s conn %d: received %s deadline %s", e.name, number, c.id, c.deadline)
 			err = e.answer(conn, c)
 		}
-		_ = id
 		if err != nil {
 			return
 		}
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -10,10 +10,14 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"sync"
 	"time"
 )
 
+// The router is killed when the thread that started it ends (Pdeathsig), so main, which starts it, keeps the main thread.
+func init() { runtime.LockOSThread() }
+
 // run is one run of a case.
 type run struct {
 	dir     string // temporary folder
--- a/review/standins/nested.go
+++ b/review/standins/nested.go
@@ -76,8 +76,11 @@
 	}
 	if r.trouble {
 		all.Go(func() {
-			for burst := 0; burst < bursts && !rt.hasEnded(); burst++ {
+			for burst := range bursts {
 				time.Sleep(3 * time.Second)
+				if rt.hasEnded() {
+					return
+				}
 				badBurst(r, rt, burst, atOnce)
 			}
 		})
