Review: case 2 counts only the router's own memory

Need: pages of the program's file may or may not count for memory_mb, so the milder reading is taken.

--- a/review/standins/router.go
+++ b/review/standins/router.go
@@ -167,7 +167,7 @@
 	<-r.ended
 }
 
-// memoryKB returns a line of the process's status in KB: VmRSS, VmHWM. It is 0 once the process has ended.
+// memoryKB returns a line of the process's status in KB: RssAnon, VmHWM. It is 0 once the process has ended.
 func (r *router) memoryKB(name string) int {
 	text, err := os.ReadFile("/proc/" + strconv.Itoa(r.cmd.Process.Pid) + "/status")
 	if err != nil {
