--- a/review/standins/endless.go
+++ b/review/standins/endless.go
@@ -13,7 +13,8 @@
 
 func init() { cases["endless"] = endless }
 
-// endless: one in ten streams is spoilt after half of its events: an event begins whose line never ends, though chunks keep coming.
+// endless: one in ten streams is spoilt after half of its events and never ends, though small whole chunks keep coming: in half of these
+// streams an event whose line never ends, in the others load reports on comment lines and no event.
 func endless(r *run) error {
 	const (
 		clients  = 10
@@ -32,14 +33,17 @@
 				mu.Lock()
 				spoiltAt[c.id] = time.Now()
 				mu.Unlock()
-				r.note("engine %s conn %d: the last event of %s has been written; its next one never ends", c.engine.name, c.conn, c.id)
-				text := "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\""
+				text, more, form := "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"", "oqvh ", "an event that never ends"
+				if rand.IntN(2) == 0 {
+					text, more, form = ": X-Load: "+load+"\n\n", ": X-Load: "+load+"\n\n", "load reports and no event"
+				}
+				r.note("engine %s conn %d: the last event of %s has been written; then %s", c.engine.name, c.conn, c.id, form)
 				for until := time.Now().Add(length + patience); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
 					if _, err := fmt.Fprint(conn, chunk(text)); err != nil {
 						r.note("engine %s conn %d: the router has closed the connection of %s", c.engine.name, c.conn, c.id)
 						return
 					}
-					text = "oqvh "
+					text = more
 				}
 			}
 		}
