run: bound the nesting of request bodies before they are parsed

Cause: front's parseBody gave each body to gjson.ValidBytes, which calls itself once a level. Measured on a fresh goroutine: 16 Ki brackets 2 MB of stack, 64 Ki 8 MB, 256 Ki 32 MB, each with no heap; flat bodies of 256 KiB nothing. The bound on the bytes of bodies counts the bodies alone. The edge of serve had a check of its own, which run did not share.

Change: internal/boundedjson counts the depth without recursion before gjson looks; the edge's copy is gone. run refuses more than 64 levels, serve's default, with 400.

Measured: TestNestedBodiesStayWithinMemory (32 such bodies at once, 64 MB allowed): 925, 631 and 823 MB before, failed 3 of 3; 17 MB now.

--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/tidwall/gjson"
 
+	"cherryhub/internal/boundedjson"
 	"cherryhub/internal/engine"
 )
 
@@ -44,7 +45,7 @@
 // parseChat parses a request body. Its time and memory are linear in the size of the body, whatever the content:
 // the nesting depth is checked before any recursive parsing.
 func parseChat(body []byte, l Limits, id Identity) (*chatRequest, *apiError) {
-	if depth := nestingDepth(body, l.MaxDepth); depth > l.MaxDepth {
+	if boundedjson.IsDeeperThan(body, l.MaxDepth) {
 		return nil, invalidRequest("", "the body's JSON is nested more than %d deep", l.MaxDepth)
 	}
 	if !gjson.ValidBytes(body) {
@@ -201,29 +202,3 @@
 	})
 	return size, problem
 }
-
-// nestingDepth returns how deep the brackets outside of strings nest. It stops once maxDepth is exceeded.
-func nestingDepth(body []byte, maxDepth int) int {
-	depth, deepest, quoted := 0, 0, false
-	for i := 0; i < len(body); i++ {
-		switch b := body[i]; {
-		case quoted:
-			if b == '\\' {
-				i++
-			} else if b == '"' {
-				quoted = false
-			}
-		case b == '"':
-			quoted = true
-		case b == '{' || b == '[':
-			if depth++; depth > deepest {
-				if deepest = depth; deepest > maxDepth {
-					return deepest
-				}
-			}
-		case b == '}' || b == ']':
-			depth--
-		}
-	}
-	return deepest
-}
--- a/internal/platform/front/request.go
+++ b/internal/platform/front/request.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/gjson"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 	"cherryhub/internal/platform/http1"
 )
 
@@ -147,8 +148,9 @@
 
 // parseBody validates the body and derives the values that the header left out.
 func (r *completionRequest) parseBody(body []byte) *errorResponse {
-	if !gjson.ValidBytes(body) {
-		return &errorResponse{status: 400, message: "the body is not JSON", closeConn: true} // Content-Length may have been wrong
+	if errResp := checkJSON(body); errResp != nil {
+		errResp.closeConn = true // Content-Length may have been wrong
+		return errResp
 	}
 	root := gjson.ParseBytes(body)
 	if !root.IsObject() || !root.Get("messages").IsArray() {
@@ -164,6 +166,17 @@
 	return nil
 }
 
+// checkJSON checks that a body is JSON, and that it does not nest too deep before it is parsed by recursion.
+func checkJSON(body []byte) *errorResponse {
+	if boundedjson.IsDeeperThan(body, boundedjson.MaxDepth) {
+		return errorResponsef(400, "the body's JSON is nested more than %d deep", boundedjson.MaxDepth)
+	}
+	if !gjson.ValidBytes(body) {
+		return errorResponsef(400, "the body is not JSON")
+	}
+	return nil
+}
+
 const (
 	maxIDBytes  = 128
 	maxKeyBytes = 255
--- a/internal/platform/service/clients_test.go
+++ b/internal/platform/service/clients_test.go
@@ -46,6 +46,7 @@
 		"a key without end":      {chatRequest("i1", body, "Idempotency-Key: "+strings.Repeat("k", 256)), 400},
 		"two keys":               {chatRequest("i2", body, "Idempotency-Key: a\r\nIdempotency-Key: b"), 400},
 		"a body that is no JSON": {chatRequest("j1", strings.Repeat("x", 60)), 400},
+		"a body nested too deep": {chatRequest("j3", `{"messages":`+nestedArrays(65)+`}`), 400}, // each level costs the parser stack
 		"no messages":            {chatRequest("j2", `{"model":"chat"}`), 400},
 		"other call":             {"DELETE /bootstrap/rooms/x HTTP/1.1\r\nHost: a\r\n\r\n", 404},
 		"other method":           {"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n", 405},
--- a/internal/platform/service/memory_test.go
+++ b/internal/platform/service/memory_test.go
@@ -3,9 +3,13 @@
 import (
 	"fmt"
 	"runtime"
+	"runtime/metrics"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cherryhub/decide"
@@ -50,3 +54,51 @@
 	t.Logf("%d bytes for each after all were replaced twice", last/engines)
 	require.Less(t, last, 4*first, "engines that are gone need more memory than listed ones")
 }
+
+// nestedArrays returns JSON that nests this many levels deep.
+func nestedArrays(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+
+// usedMemoryBytes returns the memory that the Go runtime holds, stacks included, without what it has returned to the system.
+func usedMemoryBytes() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
+// TestNestedBodiesStayWithinMemory guards against requests whose bodies nest so deep that parsing them takes the router over
+// its memory: 256 KiB of opening brackets took a stack of 32 MiB each.
+func TestNestedBodiesStayWithinMemory(t *testing.T) {
+	const (
+		requests    = 32
+		memoryBytes = 64 << 20 // memory_mb of the configuration, over which the router would be killed
+	)
+	s := newCluster(t)
+	body := strings.Repeat("[", 256<<10)
+	before, highest := usedMemoryBytes(), int64(0)
+	stopSampling, sampled := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(sampled)
+		for {
+			select {
+			case <-stopSampling:
+				return
+			case <-time.After(time.Millisecond):
+				highest = max(highest, usedMemoryBytes()-before)
+			}
+		}
+	}()
+	var clients sync.WaitGroup
+	for n := range requests {
+		clients.Go(func() {
+			status, _, err := s.send(chatRequest(fmt.Sprint("deep", n), body))
+			assert.NoError(t, err)
+			assert.Equal(t, 400, status)
+		})
+	}
+	clients.Wait()
+	close(stopSampling)
+	<-sampled
+	t.Logf("%d MB at the most", highest>>20)
+	require.Less(t, highest, int64(memoryBytes))
+	require.Empty(t, s.fleet.Calls(""), "a request reached an engine")
+}
