Bound the nesting of what engines send, in run and serve

Seen by callers: nothing reported; found on the related paths of the nested bodies. An engine's event, the answer to a read or a load report was validated by recursion too, up to 256 KiB in run and max_event_bytes (16 MiB at most) in serve: the same 32 MB of stack for 256 KiB, and past Go's largest stack of 1 GB, which ends the process, with the largest setting by calculation.

Their errors name the bound.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -21,6 +21,7 @@
 	"github.com/tidwall/gjson"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 )
 
 // Causes with which a caller cancels a dispatch's context.
@@ -219,8 +220,8 @@
 	if err == nil && len(body) > c.options.MaxEventBytes {
 		err = fmt.Errorf("%w: answer exceeds %d bytes", ErrMalformed, c.options.MaxEventBytes)
 	}
-	if err == nil && !gjson.ValidBytes(body) {
-		err = fmt.Errorf("%w: not JSON", ErrMalformed)
+	if err == nil && !boundedjson.Valid(body) {
+		err = fmt.Errorf("%w: not JSON of at most %d levels", ErrMalformed, boundedjson.MaxDepth)
 	}
 	state := gjson.GetBytes(body, "kv_transfer_params")
 	if err == nil && !state.IsObject() {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -130,6 +130,7 @@
 		"no event stream":              {send("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi"), decide.Errored, 0, false, 0, 0},
 		"no JSON":                      {sendAndHang(okHead, chunk("data: {\n\n")), decide.Errored, 0, false, 0, 0},
 		"no JSON after a token":        {sendAndHang(okHead, chunk(token), chunk("data: {\n\n")), decide.Errored, 1, false, 0, 0},
+		"deep event":                   {sendAndHang(okHead, chunk(strings.Replace(token, "{", `{"x":`+nestedArrays(64)+",", 1))), decide.Errored, 0, false, 0, 0},
 		"error event":                  {sendAndHang(okHead, chunk(`data: {"error":{"message":"x"}}`+"\n\n")), decide.Errored, 0, false, 0, 0},
 		"[DONE] without a reason":      {sendAndHang(okHead, chunk(token+done)), decide.Errored, 1, false, 0, 0},
 		"endless event":                {sendEndlessEvent, decide.Errored, 0, false, 0, 0},
@@ -152,6 +153,9 @@
 	}
 }
 
+// nestedArrays returns JSON that nests this many levels deep.
+func nestedArrays(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+
 func sendSlowly(conn net.Conn) {
 	for _, b := range []byte(okHead + chunk(token)) {
 		if _, err := conn.Write([]byte{b}); err != nil {
@@ -262,6 +266,7 @@
 		"read":      {answer(`{"kv_transfer_params":{"remote_host":"h"},"usage":{"prompt_tokens_details":{"cached_tokens":7}}}`), decide.Read, `{"remote_host":"h"}`, 7},
 		"no state":  {answer(`{"usage":{}}`), decide.Errored, "", 0},
 		"no JSON":   {answer(`{`), decide.Errored, "", 0},
+		"too deep":  {answer(`{"kv_transfer_params":{"x":` + nestedArrays(63) + `}}`), decide.Errored, "", 0},
 		"too long":  {answer(`{"a":"` + strings.Repeat("x", 5000) + `"}`), decide.Errored, "", 0},
 		"truncated": {send("HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{"), decide.Broken, "", 0},
 	} {
@@ -281,13 +286,14 @@
 func TestReports(t *testing.T) {
 	metrics, nan := newClient(t).options.LoadMetrics, math.NaN()
 	for header, want := range map[string][]float64{
-		"TEXT named_metrics.waiting=2,named_metrics.kv=0.25, cpu=3": {2, 0.25},
-		"TEXT named_metrics.kv=0.25":                                {nan, 0.25},
-		`JSON {"named_metrics":{"waiting":2,"kv":0.25}}`:            {2, 0.25},
-		`JSON {"named_metrics":{"waiting":"2"}}`:                    nil,
-		"JSON {":                                                    nil,
-		"BIN abc":                                                   nil,
-		"TEXT named_metrics.waiting=-1, named_metrics.kv=Inf":       nil,
+		"TEXT named_metrics.waiting=2,named_metrics.kv=0.25, cpu=3":         {2, 0.25},
+		"TEXT named_metrics.kv=0.25":                                        {nan, 0.25},
+		`JSON {"named_metrics":{"waiting":2,"kv":0.25}}`:                    {2, 0.25},
+		`JSON {"named_metrics":{"waiting":"2"}}`:                            nil,
+		`JSON {"named_metrics":{"waiting":2},"x":` + nestedArrays(64) + `}`: nil,
+		"JSON {":  nil,
+		"BIN abc": nil,
+		"TEXT named_metrics.waiting=-1, named_metrics.kv=Inf": nil,
 		"": nil,
 		"TEXT named_metrics.waiting=x, named_metrics.kv=1, =, ,,a==b": {nan, 1},
 	} {
--- a/internal/engine/report.go
+++ b/internal/engine/report.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 	"github.com/tidwall/gjson"
+
+	"cherryhub/internal/boundedjson"
 )
 
 // LoadMetric says where to find one value of a load report.
@@ -52,7 +54,7 @@
 			return math.NaN()
 		}
 	case "JSON":
-		if !gjson.Valid(text) {
+		if !boundedjson.Valid([]byte(text)) {
 			return nil
 		}
 		value = func(name string) float64 {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/gjson"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 )
 
 // Stream is the answer to a write. It is not safe for concurrent use. Close may be called twice.
@@ -204,8 +205,8 @@
 		}
 		return nil, false, io.EOF
 	}
-	if !gjson.ValidBytes(data) || data[0] != '{' {
-		return nil, false, fmt.Errorf("%w: event is not a JSON object: %.80q", ErrMalformed, data)
+	if !boundedjson.Valid(data) || data[0] != '{' {
+		return nil, false, fmt.Errorf("%w: event is not a JSON object of at most %d levels: %.80q", ErrMalformed, boundedjson.MaxDepth, data)
 	}
 	var engineErr, usage, choice gjson.Result
 	gjson.Parse(UnsafeString(data)).ForEach(func(key, value gjson.Result) bool {
--- a/internal/platform/backend/backend_test.go
+++ b/internal/platform/backend/backend_test.go
@@ -139,6 +139,7 @@
 		`{"queue":-1}`: nil, `{"queue":"many"}`: nil, ``: nil} {
 		require.Equal(t, want, parseReport([]string{"queue", "util"}, []byte(text)), text)
 	}
+	require.Nil(t, parseReport([]string{"queue"}, []byte(`{"queue":3,"x":`+nestedArrays(64)+`}`)), "nested too deep")
 	report := parseReport([]string{"queue", "util"}, []byte(`{"queue":3}`))
 	require.Len(t, report, 2)
 	require.Equal(t, 3.0, report[0])
--- a/internal/platform/backend/dispatch.go
+++ b/internal/platform/backend/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/tidwall/gjson"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 	"cherryhub/internal/engine"
 	"cherryhub/internal/platform/http1"
 )
@@ -85,7 +86,7 @@
 	}
 	body, err := http1.ReadBody(resp.conn.r, resp.head, limits, nil)
 	cached := gjson.GetBytes(body, "cached_tokens")
-	if err == nil && (!gjson.ValidBytes(body) || cached.Type != gjson.Number) {
+	if err == nil && (!boundedjson.Valid(body) || cached.Type != gjson.Number) {
 		err = fmt.Errorf("%w: answer to a read has no cached_tokens", http1.ErrMalformed)
 	}
 	resp.finish(err == nil && !resp.head.NoLength)
--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 	"cherryhub/internal/edge"
 	"cherryhub/internal/engine"
 	"cherryhub/internal/platform/http1"
@@ -164,8 +165,8 @@
 			s.doneSeen = true
 			continue
 		}
-		if !gjson.ValidBytes(data) {
-			return fmt.Errorf("%w: event is not JSON: %.40q", engine.ErrMalformed, data)
+		if !boundedjson.Valid(data) {
+			return fmt.Errorf("%w: event is not JSON of at most %d levels: %.40q", engine.ErrMalformed, boundedjson.MaxDepth, data)
 		}
 		if usage := gjson.GetBytes(data, "usage"); usage.IsObject() {
 			s.hasUsage = true
@@ -208,7 +209,7 @@
 // parseReport reads a load report, a JSON object of numbers. Values that are missing or invalid are NaN; it returns nil if all
 // are.
 func parseReport(columns []string, text []byte) []float64 {
-	if len(columns) == 0 || !gjson.ValidBytes(text) {
+	if len(columns) == 0 || !boundedjson.Valid(text) {
 		return nil
 	}
 	root := gjson.ParseBytes(text)
