Count the entries of an engine list before they are decoded

Seen by callers: nothing reported; found on the related paths of the nested bodies. The list service of serve: 2,934 MB allocated for a line of 16 MiB, which was refused afterwards.

Cause: a bound on the bytes of a text is none on what it is decoded into. An entry of 3 bytes takes over a hundred.

Change: boundedjson.CountElements counts an array's elements without memory for them. An answer of discovery has 8,192 entries at most, as docs/platform.md says; a line of the list service list.max_engines, as before, now checked first.

Measured: TestListMemory and TestLineMemory failed before (2,934 MB, 67 allowed; the list taken); they pass now.

--- a/internal/boundedjson/boundedjson.go
+++ b/internal/boundedjson/boundedjson.go
@@ -1,6 +1,7 @@
-// Package boundedjson validates JSON from clients, engines and other outside systems with a bounded stack. The validation of
-// gjson descends into arrays and objects by recursion, so each level of nesting costs stack, and a goroutine's stack stays as
-// large as it has grown until a garbage collection. This package bounds the depth before gjson looks at the text.
+// Package boundedjson checks JSON from clients, engines and other outside systems before it is parsed at the cost of memory.
+// The validation of gjson descends into arrays and objects by recursion, so each level of nesting costs stack, and a
+// goroutine's stack stays as large as it has grown until a garbage collection: the depth is bounded first. An array is decoded
+// into elements that may be many times larger than their text: CountElements tells their number first.
 package boundedjson
 
 import (
@@ -40,6 +41,19 @@
 	return false
 }
 
+// CountElements returns the number of elements of a valid JSON array, and 0 for any other value.
+func CountElements(text []byte) (count int) {
+	value := gjson.ParseBytes(text)
+	if !value.IsArray() {
+		return 0
+	}
+	value.ForEach(func(_, _ gjson.Result) bool {
+		count++
+		return true
+	})
+	return count
+}
+
 // stringEnd returns the index of the quote that ends the string beginning at start, or of the text's end.
 func stringEnd(text []byte, start int) int {
 	for i := start + 1; i < len(text); i++ {
--- a/internal/boundedjson/boundedjson_test.go
+++ b/internal/boundedjson/boundedjson_test.go
@@ -32,6 +32,12 @@
 	}
 }
 
+func TestCountElements(t *testing.T) {
+	for text, count := range map[string]int{`[]`: 0, `[null]`: 1, ` [[1,2],{"a":[3,4]},"]," , 5 ] `: 4, `{"a":[1]}`: 0, `null`: 0, `7`: 0} {
+		require.Equal(t, count, CountElements([]byte(text)), text)
+	}
+}
+
 // TestStackIsBounded guards against validation whose stack grows with the text: 256 KiB of opening brackets took 32 MiB.
 func TestStackIsBounded(t *testing.T) {
 	const maxStackBytes = 1 << 20
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 	"cherryhub/internal/link"
 )
 
@@ -243,11 +244,35 @@
 	return fmt.Errorf("list service %s: closed", f.url)
 }
 
+// lineMessage is a line whose entries are not decoded yet: they may take many times the memory of their text.
+type lineMessage struct {
+	Line
+	Entries json.RawMessage `json:"engines"` // in place of those of Line
+}
+
+// decodeLine decodes a line of at most maxEngines entries.
+func decodeLine(text []byte, maxEngines int) (*Line, error) {
+	message := &lineMessage{}
+	if err := json.Unmarshal(text, message); err != nil {
+		return nil, fmt.Errorf("malformed: %w", err)
+	}
+	if count := boundedjson.CountElements(message.Entries); count > maxEngines {
+		return nil, fmt.Errorf("%d engines exceed list.max_engines %d", count, maxEngines)
+	}
+	if message.Entries == nil {
+		return &message.Line, nil
+	}
+	if err := json.Unmarshal(message.Entries, &message.Line.Entries); err != nil {
+		return nil, fmt.Errorf("malformed: engines: %w", err)
+	}
+	return &message.Line, nil
+}
+
 // parseLine decodes and validates a line.
 func parseLine(text []byte, maxEngines int) (*Line, error) {
-	line := &Line{}
-	if err := json.Unmarshal(text, line); err != nil {
-		return nil, fmt.Errorf("malformed: %w", err)
+	line, err := decodeLine(text, maxEngines)
+	if err != nil {
+		return nil, err
 	}
 	switch line.Kind {
 	case "alive", "delta":
@@ -258,9 +283,6 @@
 	default:
 		return nil, fmt.Errorf("kind %q, wanted full, delta or alive", line.Kind)
 	}
-	if len(line.Entries) > maxEngines {
-		return nil, fmt.Errorf("%d engines exceed list.max_engines %d", len(line.Entries), maxEngines)
-	}
 	seen := map[string]bool{}
 	for i, e := range line.Entries {
 		host, port, err := net.SplitHostPort(e.Address)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -189,3 +190,14 @@
 		assert.Len(t, *lists, 1)
 	})
 }
+
+// TestLineMemory guards against a line whose empty entries are decoded before they are counted: each took 50 times its text.
+func TestLineMemory(t *testing.T) {
+	text := []byte(`{"kind":"full","epoch":1,"version":1,"engines":[` + strings.Repeat("{},", maxLineBytes/3-50) + `{}]}`)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := parseLine(text, 8192)
+	runtime.ReadMemStats(&after)
+	require.ErrorContains(t, err, "exceed list.max_engines 8192")
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(4*maxLineBytes))
+}
--- a/internal/platform/discovery/discovery.go
+++ b/internal/platform/discovery/discovery.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cherryhub/decide"
+	"cherryhub/internal/boundedjson"
 )
 
 // EngineEntry is one entry of the engine list.
@@ -37,7 +38,22 @@
 type EngineList struct {
 	Version  int64         `json:"seq"`
 	Snapshot bool          `json:"whole"`
-	Entries  []EngineEntry `json:"hosts"`
+	Entries  EngineEntries `json:"hosts"`
+}
+
+// EngineEntries are the entries of an engine list, at most maxEntries.
+type EngineEntries []EngineEntry
+
+// maxEntries is the largest number of entries of an answer: over twice the 3,200 engines of the largest fleets.
+const maxEntries = 8192
+
+// UnmarshalJSON implements json.Unmarshaler. The entries are counted before memory is used for them: an entry takes many times
+// the memory of its shortest text.
+func (e *EngineEntries) UnmarshalJSON(text []byte) error {
+	if count := boundedjson.CountElements(text); count > maxEntries {
+		return fmt.Errorf("%d hosts, wanted %d at most", count, maxEntries)
+	}
+	return json.Unmarshal(text, (*[]EngineEntry)(e))
 }
 
 // phaseByHealth maps the values of EngineEntry.Health.
--- a/internal/platform/discovery/follower_test.go
+++ b/internal/platform/discovery/follower_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -201,3 +202,18 @@
 	require.Equal(t, maxExtraTimeout, p.extraTimeout)
 	require.Equal(t, minRetryDelay/2, p.failed(0))
 }
+
+// TestListMemory guards against a list of 2 MiB whose empty entries take the router over its memory: decoded, each took 40 times
+// its text.
+func TestListMemory(t *testing.T) {
+	const maxBytes = 16 << 20 // half of the least memory of a router
+	for _, entry := range []string{"{}", "0", "null"} {
+		text := []byte(`{"seq":1,"whole":true,"hosts":[` + strings.Repeat(entry+",", maxListBytes/(len(entry)+1)-50) + entry + `]}`)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := ParseList(text, slog.New(slog.DiscardHandler))
+		runtime.ReadMemStats(&after)
+		require.ErrorContains(t, err, "wanted 8192 at most")
+		require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxBytes), entry)
+	}
+}
