--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -19,12 +19,12 @@
 	"cherryhub/internal/platform/http1"
 )
 
-// A working engine may pause between two chunks, but it writes each chunk in one go, and the last one right after the final
+// A working engine may pause between two events, but it writes each chunk in one go, and the last one right after the final
 // event. A client may be kept waiting for at most 5 s after the last event of its engine.
 const (
-	maxChunkPause      = 4500 * time.Millisecond
-	maxChunkDuration   = 1500 * time.Millisecond
-	maxFinalChunkPause = 1500 * time.Millisecond
+	maxEventWait     = 4500 * time.Millisecond // from the call for an event to its last byte, whatever else comes meanwhile
+	maxChunkDuration = 1500 * time.Millisecond // from a chunk's first byte to its last
+	maxEndWait       = 1500 * time.Millisecond // from the first call after [DONE] to the end of the last chunk
 )
 
 // stream is the answer to a write.
@@ -38,7 +38,9 @@
 	eventEnd     int    // end of the next event in buf, 0 while it is incomplete
 	eventChecked bool   // checkEvent was called for that event
 	events       int
-	doneSeen     bool // [DONE] has come
+	waitDeadline time.Time // for what is awaited; zero before the first event, where the dispatch's own timeout applies
+	doneSeen     bool      // [DONE] has come
+	endAwaited   bool      // waitDeadline is that of the end of the answer
 	totalBytes   int
 	usage        engine.Usage
 	hasUsage     bool
@@ -65,6 +67,27 @@
 	return s, nil
 }
 
+// startWait sets the deadline of the next event or, after [DONE], of the end of the answer. What comes meanwhile and is not
+// what the engine owes, such as load reports, a part of an event or events after [DONE], does not move it.
+func (s *stream) startWait() {
+	switch {
+	case s.events == 0 || s.endAwaited:
+	case s.doneSeen:
+		s.waitDeadline, s.endAwaited = time.Now().Add(maxEndWait), true
+	default:
+		s.waitDeadline = time.Now().Add(maxEventWait)
+	}
+}
+
+// chunkDeadline returns the deadline for the rest of a chunk that has begun to come.
+func (s *stream) chunkDeadline() time.Time {
+	deadline := time.Now().Add(maxChunkDuration)
+	if !s.waitDeadline.IsZero() && s.waitDeadline.Before(deadline) {
+		return s.waitDeadline
+	}
+	return deadline
+}
+
 // readChunk reads one more chunk.
 func (s *stream) readChunk() {
 	if s.consumed > 0 {
@@ -72,20 +95,14 @@
 		s.consumed = 0
 	}
 	conn := s.response.conn
-	maxPause := maxChunkPause
-	if s.doneSeen {
-		maxPause = maxFinalChunkPause
-	}
-	if s.events > 0 { // before the first event the dispatch's own timeout applies
-		conn.SetReadDeadline(time.Now().Add(maxPause)) //nolint:errcheck // reading from a closed connection fails
-	}
 	if conn.r.Buffered() == 0 {
+		conn.SetReadDeadline(s.waitDeadline) //nolint:errcheck // reading from a closed connection fails
 		if _, err := conn.r.Peek(1); err != nil {
 			s.setReadError(err)
 			return
 		}
 	}
-	conn.SetReadDeadline(time.Now().Add(maxChunkDuration)) //nolint:errcheck // as above
+	conn.SetReadDeadline(s.chunkDeadline()) //nolint:errcheck // as above
 	before := len(s.buf)
 	buf, err := http1.ReadChunk(conn.r, s.buf, maxBodyBytes)
 	s.buf = buf
@@ -112,7 +129,10 @@
 	s.err = engineError(err)
 }
 
-var eventSeparator = []byte("\n\n")
+var (
+	lineEnd        = []byte("\n")
+	eventSeparator = []byte("\n\n")
+)
 
 // HasBufferedEvent reports whether another complete event has already come. It consumes load reports before that event.
 func (s *stream) HasBufferedEvent() bool {
@@ -122,16 +142,28 @@
 		if n < 0 {
 			return false
 		}
-		if rest[0] != ':' || bytes.IndexByte(rest[:n], '\n') >= 0 { // not just a comment
+		if !hasOnlyComments(rest[:n]) {
 			s.eventEnd = s.consumed + n + len(eventSeparator)
 			break
 		}
-		s.parseComment(rest[:n])
+		for line := range bytes.SplitSeq(rest[:n], lineEnd) {
+			s.parseComment(line)
+		}
 		s.consumed += n + len(eventSeparator)
 	}
 	return true
 }
 
+// hasOnlyComments reports whether all lines of a block are comments, so that it is no event.
+func hasOnlyComments(block []byte) bool {
+	for line := range bytes.SplitSeq(block, lineEnd) {
+		if len(line) == 0 || line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // parseComment reads a comment line that may be a load report.
 func (s *stream) parseComment(line []byte) {
 	if text, ok := bytes.CutPrefix(line, []byte(": X-Load:")); ok {
@@ -141,6 +173,9 @@
 
 // awaitEvent reads until the next event is complete, and checks it once.
 func (s *stream) awaitEvent() {
+	if s.err == nil && !s.HasBufferedEvent() {
+		s.startWait()
+	}
 	for s.err == nil && !s.HasBufferedEvent() {
 		s.readChunk()
 	}
@@ -151,7 +186,7 @@
 
 // checkEvent checks the next event and takes its usage and load report.
 func (s *stream) checkEvent() error {
-	for line := range bytes.SplitSeq(s.buf[s.consumed:s.eventEnd-len(eventSeparator)], []byte("\n")) {
+	for line := range bytes.SplitSeq(s.buf[s.consumed:s.eventEnd-len(eventSeparator)], lineEnd) {
 		data, ok := bytes.CutPrefix(line, []byte("data:"))
 		if !ok {
 			if len(line) > 0 && line[0] == ':' {
--- a/internal/platform/backend/stream_test.go
+++ b/internal/platform/backend/stream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -36,14 +37,16 @@
 	c := New(Options{ReportColumns: []string{"util"}, ConnectTimeout: dispatchTimeout, EngineIdleTimeout: dispatchTimeout, MaxConns: 1,
 		Dial: func(context.Context, string, string) (net.Conn, error) { return clientSide, nil }})
 	c.UpdateEngines(true, []EngineEntry{{Name: "e", Address: "any"}}, nil)
+	ended := make(chan struct{})
 	go func() {
+		defer close(ended)
 		r := bufio.NewReader(engineSide)
 		if h, err := http1.ReadRequest(r, limits); err == nil {
 			http1.ReadBody(r, h, limits, nil) //nolint:errcheck // a stand-in
 			script(engineSide)
 		}
 	}()
-	t.Cleanup(func() { clientSide.Close(); engineSide.Close(); c.Close() })
+	t.Cleanup(func() { clientSide.Close(); engineSide.Close(); c.Close(); <-ended })
 	return c
 }
 
@@ -73,3 +76,96 @@
 		require.ErrorIs(t, r.Err, engine.ErrMalformed)
 	})
 }
+
+const (
+	doneEvent    = "data: [DONE]\n\n"
+	reportBlock  = ": X-Load: {\"util\":0.5}\n\n"
+	lastChunk    = "0\r\n\r\n"
+	chunkSpacing = 200 * time.Millisecond
+)
+
+// sendEvery sends the text as a chunk again and again, until the client closes the connection.
+func sendEvery(conn net.Conn, text string) {
+	for {
+		time.Sleep(chunkSpacing)
+		if _, err := io.WriteString(conn, chunk(text)); err != nil {
+			return
+		}
+	}
+}
+
+// readEvents reads a stream to its end and returns the number of its events and how it ended.
+func readEvents(s edge.Stream) (events int, err error) {
+	for {
+		if _, err = s.Next(); err != nil {
+			return events, err
+		}
+		events++
+	}
+}
+
+// TestStreamWithoutProgress guards against a stream that never ends: chunks that bring no event kept its client waiting for
+// ever. A client may wait for 5 s after its engine's last event.
+func TestStreamWithoutProgress(t *testing.T) {
+	const maxClientWait = 5 * time.Second
+	for name, tc := range map[string]struct {
+		begin string // the events
+		then  func(conn net.Conn)
+	}{
+		"part of an event": {contentEvent, func(conn net.Conn) {
+			io.WriteString(conn, chunk("data: {\"choices\":[{\"delta\":{\"content\":\"")) //nolint:errcheck // sendEvery notices
+			sendEvery(conn, "abcd ")
+		}},
+		"load reports":            {contentEvent, func(conn net.Conn) { sendEvery(conn, reportBlock) }},
+		"blocks of comments":      {contentEvent, func(conn net.Conn) { sendEvery(conn, ": a\n: b\n\n") }},
+		"[DONE] again":            {contentEvent + doneEvent, func(conn net.Conn) { sendEvery(conn, doneEvent) }},
+		"load reports at the end": {contentEvent + doneEvent, func(conn net.Conn) { sendEvery(conn, reportBlock) }},
+		"a late chunk, byte by byte": {contentEvent, func(conn net.Conn) {
+			time.Sleep(maxEventWait - 100*time.Millisecond)
+			for _, b := range []byte(chunk(contentEvent)) {
+				if _, err := conn.Write([]byte{b}); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		}},
+		"nothing": {contentEvent, func(net.Conn) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				lastEventAt := make(chan time.Time, 1)
+				s, failed := write(t, newScriptedEngine(t, func(conn net.Conn) {
+					io.WriteString(conn, streamHead+chunk(tc.begin)) //nolint:errcheck // as above
+					lastEventAt <- time.Now()
+					tc.then(conn)
+				}))
+				require.Nil(t, failed)
+				_, err := readEvents(s)
+				require.ErrorIs(t, err, engine.ErrTruncated)
+				require.Less(t, time.Since(<-lastEventAt), maxClientWait)
+				require.Equal(t, decide.Broken, s.Close().Outcome)
+			})
+		})
+	}
+}
+
+// TestPauseWithinStream: an engine that pauses for 4 s between events is waited for, each time anew, whether or not load reports
+// come meanwhile.
+func TestPauseWithinStream(t *testing.T) {
+	const pause = 4 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s, failed := write(t, newScriptedEngine(t, func(conn net.Conn) {
+			for _, text := range []string{streamHead + chunk(contentEvent), chunk(contentEvent), chunk(contentEvent+doneEvent) + chunk(reportBlock) + lastChunk} {
+				io.WriteString(conn, text) //nolint:errcheck // the test notices
+				time.Sleep(pause / 2)
+				io.WriteString(conn, chunk(reportBlock)) //nolint:errcheck // as above
+				time.Sleep(pause / 2)
+			}
+		}))
+		require.Nil(t, failed)
+		events, err := readEvents(s)
+		require.ErrorIs(t, err, io.EOF)
+		require.Equal(t, 4, events)
+		require.Equal(t, decide.Finished, s.Close().Outcome)
+	})
+}
