serve: events without a token do not extend the wait for one

Seen by callers: nothing reported; found on the related paths of the endless streams. timeouts.stream_idle_s is the time between two tokens, but each event renewed it: an engine that repeats its role, its usage or its finish_reason kept its client waiting for as long as it did so, up to the longest stream.

Cause and change: Next reset the timer for every event. Now only output does: a token, or the first finish_reason.

Measured: TestStreamWithoutTokens: four of five forms failed before (2.0 s, until the engine stopped, with an idle timeout of 0.15 s), none now; the fifth, comments, passed before.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -165,6 +165,38 @@
 	}
 }
 
+// sendEvery sends a chunk again and again, until the client closes the connection or 2 s are over.
+func sendEvery(conn net.Conn, text string) {
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if _, err := io.WriteString(conn, chunk(text)); err != nil {
+			return
+		}
+	}
+}
+
+// TestStreamWithoutTokens guards against a stream that never ends: events without a token kept its client waiting for ever,
+// beyond the idle timeout of 150 ms that is between two tokens.
+func TestStreamWithoutTokens(t *testing.T) {
+	for name, tc := range map[string]struct{ begin, then string }{
+		"role":                 {token, role},
+		"usage":                {token, usageText},
+		"usage behind the end": {token + stop, usageText},
+		"finish_reason again":  {token + stop, stop},
+		"comment":              {token, ": a\n\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			address := startEngine(t, func(conn net.Conn) {
+				send(okHead, chunk(tc.begin))(conn)
+				sendEvery(conn, tc.then)
+			})
+			result, _, elapsed := runWrite(t, address, time.Second, 0)
+			assert.Equal(t, decide.TimedOut, result.Outcome, "%v", result.Err)
+			assert.Less(t, elapsed, time.Second)
+		})
+	}
+}
+
 func sendEndlessEvent(conn net.Conn) {
 	send(okHead)(conn)
 	for {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -66,12 +66,12 @@
 		s.err = fmt.Errorf("%w: content type %q", ErrMalformed, contentType)
 	}
 	for s.err == nil {
-		data, token, err := s.readEvent()
+		data, output, err := s.readEvent()
 		if err != nil {
 			s.err = err
 			break
 		}
-		if token {
+		if output {
 			s.pending = append(s.pending, bytes.Clone(data))
 			s.timer.Reset(c.options.StreamIdleTimeout)
 			return s, nil
@@ -98,9 +98,11 @@
 		return Event{Data: data}, nil
 	}
 	if s.err == nil {
-		data, _, err := s.readEvent()
+		data, output, err := s.readEvent()
 		if err == nil {
-			s.timer.Reset(s.client.options.StreamIdleTimeout)
+			if output { // other events don't move the limit of the time between two tokens
+				s.timer.Reset(s.client.options.StreamIdleTimeout)
+			}
 			return Event{Data: data, UsageOnly: s.usageOnly}, nil
 		}
 		s.err = err
@@ -156,8 +158,8 @@
 	doneMarker = []byte("[DONE]")
 )
 
-// readEvent reads one event and reports whether it has output.
-func (s *Stream) readEvent() (data []byte, token bool, err error) {
+// readEvent reads one event and reports whether it has output: a token, or the first finish_reason.
+func (s *Stream) readEvent() (data []byte, output bool, err error) {
 	s.buf = s.buf[:0]
 	for {
 		if len(s.buf) > s.client.options.MaxEventBytes {
@@ -235,20 +237,22 @@
 		}
 		return nil, false, fmt.Errorf("%w: event without choices: %.80q", ErrMalformed, data)
 	}
-	token := false
+	output := false
 	choice.ForEach(func(key, value gjson.Result) bool {
 		switch key.Str {
 		case "delta":
 			value.ForEach(func(key, value gjson.Result) bool {
-				token = token || key.Str != "role" && value.Type != gjson.Null && value.Raw != `""` && value.Raw != "[]"
-				return !token
+				output = output || key.Str != "role" && value.Type != gjson.Null && value.Raw != `""` && value.Raw != "[]"
+				return !output
 			})
 		case "finish_reason":
-			s.finishSeen = s.finishSeen || value.Type == gjson.String
+			if value.Type == gjson.String && !s.finishSeen {
+				s.finishSeen, output = true, true
+			}
 		}
 		return true
 	})
-	return data, token || s.finishSeen, nil
+	return data, output, nil
 }
 
 // HasBufferedEvent reports whether another complete event has already come.
