--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -339,6 +340,24 @@
 	assert.Error(t, err)
 }
 
+// TestMetricsMemory guards against an engine whose /metrics take hundreds of megabytes once they are parsed.
+func TestMetricsMemory(t *testing.T) {
+	const maxBytes = 32 << 20
+	metrics := newClient(t).options.LoadMetrics
+	for name, text := range map[string]string{
+		"short lines":  strings.Repeat("a 1\n", maxControlAnswerBytes/4),
+		"many labels":  "a{" + strings.Repeat(`b="",`, maxControlAnswerBytes/5-4) + "} 1\n",
+		"most allowed": strings.Repeat("vllm:num_requests_waiting{a=\"\",b=\"\",c=\"\",d=\"\"} 1\n", maxMetricsLines),
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := metrics.parsePrometheus([]byte(text))
+		runtime.ReadMemStats(&after)
+		assert.Equal(t, name == "most allowed", err == nil, "%s: %v", name, err)
+		assert.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxBytes), name)
+	}
+}
+
 func TestBodies(t *testing.T) {
 	fields := []Field{{"model", []byte(`"model"`), []byte(`"m"`)}, {"max_tokens", []byte(`"max_tokens"`), []byte("9")},
 		{"stream", []byte(`"stream"`), []byte("false")}, {"odd\"", []byte(`"odd\""`), []byte(`[1]`)},
