serve: count the results of a peer's message before they are decoded

A message of 4 MiB, the longest that a router sends, took 323 MB to decode if its results were empty. Only a holder of the peers' key can send one.

Fields are counted without memory for them; a message has 256 at most, where routers send one.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"golang.org/x/time/rate"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"cherryhub/decide"
@@ -220,10 +221,31 @@
 	}
 }
 
+// maxResults is the largest number of results in a message. Routers send one.
+const maxResults = 256
+
+// decodeResults decodes a message. The results are counted before memory is used for them: an empty one takes many times the
+// memory of its text.
+func decodeResults(message []byte) (*pb.PeerResults, error) {
+	count := 0
+	for rest := message; len(rest) > 0; count++ {
+		_, _, size := protowire.ConsumeField(rest)
+		if size < 0 {
+			return nil, protowire.ParseError(size)
+		}
+		rest = rest[size:]
+	}
+	if count > maxResults {
+		return nil, fmt.Errorf("%d fields, wanted %d at most", count, maxResults)
+	}
+	results := &pb.PeerResults{}
+	return results, proto.Unmarshal(message, results)
+}
+
 // receiveMessage processes a message from another member.
 func (p *Peer) receiveMessage(message []byte) {
-	results := &pb.PeerResults{}
-	if err := proto.Unmarshal(message, results); err != nil {
+	results, err := decodeResults(message)
+	if err != nil {
 		p.options.Log.Warn("peers: malformed message", "err", err)
 		return
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"runtime"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"cherryhub/decide"
 	"cherryhub/internal/duty"
@@ -19,6 +22,7 @@
 	"cherryhub/internal/link"
 	"cherryhub/internal/loopback"
 	"cherryhub/internal/member"
+	pb "cherryhub/proto"
 )
 
 // testPeer is a Peer with a scripted engine client that records the events sent to its planner.
@@ -241,3 +245,21 @@
 		assert.Error(t, err)
 	}
 }
+
+// TestMessageMemory guards against a message whose empty results take hundreds of megabytes once they are decoded.
+func TestMessageMemory(t *testing.T) {
+	const (
+		messageBytes = 4 << 20 // the longest message that a router sends
+		maxBytes     = 2 * messageBytes
+	)
+	message, err := proto.Marshal(&pb.PeerResults{Results: slices.Repeat([]*pb.PeerResult{{}}, messageBytes/2)})
+	require.NoError(t, err)
+	p, err := New(Options{Duty: duty.Settings{Self: duty.Member{Name: "a", Weight: 1}, SettleTime: 0.6, LeaseTime: 5, HandoverDelay: 0.1, MaxJoins: 10}, ProbeInterval: 1, Candidates: 2,
+		Observer: nopObserver{}, Log: slog.New(slog.DiscardHandler)})
+	require.NoError(t, err)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	p.receiveMessage(message)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxBytes))
+}
