serve: send to copies of memberlist's nodes

Cause: Group.sendTo and missingSeeds read the nodes that memberlist's Members returns, which memberlist writes to under its own lock when news of a member comes, such as that a suspected one lives. An address read meanwhile can be half old and half new.

Change: the group keeps copies, taken in the notifications that memberlist makes under its lock, and sends to those.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -40,6 +41,7 @@
 	list    *memberlist.Memberlist
 	mu      sync.Mutex
 	alive   map[string]duty.Member
+	nodes   map[string]memberlist.Node // all live members and this router, by name; copies, as memberlist writes to its own
 	meta    []byte
 }
 
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("peers: listen: %w", err)
 	}
-	g := &Group{options: o, alive: map[string]duty.Member{}}
+	g := &Group{options: o, alive: map[string]duty.Member{}, nodes: map[string]memberlist.Node{}}
 	if g.meta, err = proto.Marshal(&pb.PeerMeta{Incarnation: proto.Uint64(o.Self.Incarnation), Zone: proto.String(o.Self.Zone),
 		Weight: proto.Float64(o.Self.Weight)}); err != nil {
 		return nil, fmt.Errorf("peers: %w", err)
@@ -116,8 +118,8 @@
 // missingSeeds returns the seeds at whose address no member is alive.
 func (g *Group) missingSeeds() []string {
 	alive := make(map[string]bool)
-	for _, member := range g.list.Members() {
-		alive[member.Address()] = true
+	for _, node := range g.liveNodes() {
+		alive[node.Address()] = true
 	}
 	return slices.DeleteFunc(slices.Clone(g.options.Seeds), func(seed string) bool { return alive[seed] })
 }
@@ -141,17 +143,31 @@
 
 func (g *Group) sendTo(message []byte, sendTo func(*memberlist.Node, []byte) error) error {
 	var errs error
-	for _, n := range g.list.Members() {
-		if n.Name == g.options.Self.Name {
+	for _, node := range g.liveNodes() {
+		if node.Name == g.options.Self.Name {
 			continue
 		}
-		if err := sendTo(n, message); err != nil {
-			errs = errors.Join(errs, fmt.Errorf("peers: send to %s: %w", n.Name, err))
+		if err := sendTo(&node, message); err != nil {
+			errs = errors.Join(errs, fmt.Errorf("peers: send to %s: %w", node.Name, err))
 		}
 	}
 	return errs
 }
 
+// liveNodes returns all live members and this router.
+func (g *Group) liveNodes() []memberlist.Node {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Collect(maps.Values(g.nodes))
+}
+
+// storeNode stores a copy of a node that has joined or changed.
+func (g *Group) storeNode(n *memberlist.Node) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nodes[n.Name] = *n
+}
+
 // Stop announces that this router leaves the group, and shuts down its membership.
 func (g *Group) Stop() error {
 	err := g.list.Leave(500 * time.Millisecond)
@@ -183,21 +199,27 @@
 	g.notifyMembers()
 }
 
-// NotifyJoin implements memberlist.EventDelegate, as do NotifyUpdate and NotifyLeave.
+// NotifyJoin implements memberlist.EventDelegate, as do NotifyUpdate and NotifyLeave. Only during these calls, which hold
+// memberlist's lock, the node may be read.
 func (g *Group) NotifyJoin(n *memberlist.Node) {
+	g.storeNode(n)
 	g.updateMember(n)
 	if n.Name != g.options.Self.Name {
 		g.options.Log.Info("peer joined", "member", n.Name, "address", n.Address())
 	}
 }
 
-func (g *Group) NotifyUpdate(n *memberlist.Node) { g.updateMember(n) }
+func (g *Group) NotifyUpdate(n *memberlist.Node) {
+	g.storeNode(n)
+	g.updateMember(n)
+}
 
 func (g *Group) NotifyLeave(n *memberlist.Node) {
 	if n.Name == g.options.Self.Name {
 		return
 	}
 	g.mu.Lock()
+	delete(g.nodes, n.Name)
 	delete(g.alive, n.Name)
 	g.notifyMembers()
 	g.mu.Unlock()
