Test: all processes name their ports before the first one ends

It ended its processes one by one and read each one's ports at its end. One that starts late may rightly claim the range of one that has ended.

Change: the ports of all are read while all run, and only then the processes end. What is asserted is as strict: 250 different ports, from processes that run at once, no errors, exit codes 0.

--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -1,6 +1,7 @@
 package loopback
 
 import (
+	"bufio"
 	"fmt"
 	"os"
 	"os/exec"
@@ -28,17 +29,17 @@
 func TestProcessesGetDistinctPorts(t *testing.T) {
 	executable, err := os.Executable()
 	require.NoError(t, err)
-	var outputs []*strings.Builder
+	var outputs []*bufio.Reader
 	var stops []func()
 	for range 4 {
 		cmd := exec.Command(executable)
 		cmd.Env = append(os.Environ(), childEnv+"=1")
 		stdin, err := cmd.StdinPipe()
 		require.NoError(t, err)
-		out := &strings.Builder{}
-		cmd.Stdout = out
+		stdout, err := cmd.StdoutPipe()
+		require.NoError(t, err)
 		require.NoError(t, cmd.Start())
-		outputs, stops = append(outputs, out), append(stops, func() { stdin.Close(); assert.NoError(t, cmd.Wait()) })
+		outputs, stops = append(outputs, bufio.NewReader(stdout)), append(stops, func() { stdin.Close(); assert.NoError(t, cmd.Wait()) })
 	}
 	seen := map[string]bool{}
 	for range 50 {
@@ -47,13 +48,17 @@
 		assert.False(t, seen[a], "returned twice")
 		seen[a] = true
 	}
-	for i, stop := range stops {
-		stop()
-		lines := strings.Fields(strings.ReplaceAll(outputs[i].String(), "<nil>", ""))
-		require.Len(t, lines, 50)
-		for _, a := range lines {
+	for _, output := range outputs { // of all, before the first process ends and another one may have its ports
+		for range 50 {
+			line, err := output.ReadString('\n')
+			require.NoError(t, err)
+			a, found := strings.CutSuffix(line, " <nil>\n")
+			require.True(t, found, line)
 			assert.False(t, seen[a], "%s was returned to two processes", a)
 			seen[a] = true
 		}
 	}
+	for _, stop := range stops {
+		stop()
+	}
 }
