--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"strings"
@@ -39,7 +40,15 @@
 		stdout, err := cmd.StdoutPipe()
 		require.NoError(t, err)
 		require.NoError(t, cmd.Start())
-		outputs, stops = append(outputs, bufio.NewReader(stdout)), append(stops, func() { stdin.Close(); assert.NoError(t, cmd.Wait()) })
+		output := bufio.NewReader(stdout)
+		outputs = append(outputs, output)
+		stops = append(stops, func() {
+			stdin.Close()
+			rest, err := io.ReadAll(output)
+			assert.NoError(t, err)
+			assert.Empty(t, rest, "more than 50 lines")
+			assert.NoError(t, cmd.Wait())
+		})
 	}
 	seen := map[string]bool{}
 	for range 50 {
