Lease: keep the state of a read that ends while a release is under way

Seen by callers: nothing reported.

Cause: the lease knows one time since when state is held, the first. An answered release cleared all that was held since before it was sent, also if a later read had added to it meanwhile. The drawn test of the lease has no read that ends during a release.

Change: the lease remembers when the last read ended. State of a read that ended after the release was sent stays held, since then at the earliest, so that a further release follows. The price is one release more where the first had cleared all.

Measured: TestReadEndsDuringRelease fails without the change ("during the release"), passes with it; all tests of decide and edge pass.

--- a/decide/lease.go
+++ b/decide/lease.go
@@ -23,6 +23,7 @@
 type Lease struct {
 	mayHold           bool    // an engine may hold state
 	heldSince         float64 // since when state has been held, for the hold limit
+	lastReadEnd       float64 // when the last read ended that may have left state
 	runsUntil         float64 // calls that ended without an answer may run on at their engines until then, and leave state
 	clearedAt         float64 // when the last answered release was sent, or the last write gave its first byte
 	releasedSinceRead bool    // a release was sent since the last read was answered
@@ -31,6 +32,7 @@
 // ReadEnded records the end of a read that may have run. A read without an answer may have succeeded just then, or may run on until the
 // given time.
 func (l *Lease) ReadEnded(now float64, answered bool, until float64) {
+	l.lastReadEnd = now
 	switch {
 	case l.mayHold:
 	case l.runsUntil > l.clearedAt: // an earlier call may have left state since
@@ -69,13 +71,14 @@
 func (l *Lease) ReleaseSent() { l.releasedSinceRead = true }
 
 // ReleaseAnswered records the answer to a release that was sent at the given time. writing says that a write is out that has given no
-// first byte: if it waits at its engine, the release has freed nothing.
+// first byte: if it waits at its engine, the release has freed nothing. Nor has it freed what a read left that ended after it was sent.
 func (l *Lease) ReleaseAnswered(sent float64, writing bool) {
 	l.clearedAt = sent
 	if l.mayHold && l.heldSince > sent {
 		return
 	}
-	l.mayHold, l.heldSince = writing, sent
+	l.mayHold = writing || l.mayHold && l.lastReadEnd > sent
+	l.heldSince = sent
 }
 
 // Active reports whether state may be held now or later.
--- a/decide/lease_test.go
+++ b/decide/lease_test.go
@@ -123,3 +123,36 @@
 		require.Equal(t, tc.active, due, name)
 	}
 }
+
+// TestReadEndsDuringRelease guards against state that is held for good: a read that ends while a release for earlier state is under way
+// may leave state behind that release, which its answer does not clear.
+func TestReadEndsDuringRelease(t *testing.T) {
+	const limit, sent = 0.8, 1.5
+	for name, tc := range map[string]struct {
+		readEnds float64 // of the second read
+		answered bool
+		held     bool
+	}{
+		"before the release":                 {sent - 0.1, true, false},
+		"during the release":                 {sent + 0.001, true, true},
+		"during the release, with no answer": {sent + 0.001, false, true},
+	} {
+		l := &Lease{}
+		l.ReadEnded(1, true, 0)
+		if tc.readEnds < sent {
+			l.ReadEnded(tc.readEnds, tc.answered, 0)
+		}
+		l.ReleaseSent()
+		if tc.readEnds > sent {
+			l.ReadEnded(tc.readEnds, tc.answered, 0)
+		}
+		l.ReleaseAnswered(sent, false)
+		_, held := l.HeldFor(sent)
+		require.Equal(t, tc.held, held, name)
+		require.Equal(t, tc.held, l.Active(), name)
+		if at, due := l.NextRelease(limit); tc.held {
+			require.True(t, due, name)
+			require.Less(t, at, tc.readEnds+limit, name)
+		}
+	}
+}
