Test: a write is cancelled 50 ms after its call or its token

It cancelled 50 ms after the test began; on a machine that is held up the call had not been sent by then, which rightly counts as not sent.

Change: the time counts from the moment that each case names: from the last byte of the call, and from the first token. Outcomes and counts of events that are asserted are the same.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"runtime"
 	"strings"
 	"testing"
@@ -83,12 +84,25 @@
 	return c
 }
 
+// cancelMoment says after what a caller cancels a write.
+type cancelMoment int
+
+const (
+	neverCancelled cancelMoment = iota
+	cancelledAfterCall
+	cancelledAfterToken
+)
+
+// cancelDelay is the time from that moment to the cancellation.
+const cancelDelay = 50 * time.Millisecond
+
 // runWrite runs a write to its end and returns its result, the number of events and the time it took.
-func runWrite(t *testing.T, address string, timeout time.Duration, cancelAfter time.Duration) (*Result, int, time.Duration) {
+func runWrite(t *testing.T, address string, timeout time.Duration, cancelled cancelMoment) (*Result, int, time.Duration) {
 	c, began := newClient(t), time.Now()
 	ctx, cancel := context.WithCancelCause(context.Background())
-	if cancelAfter > 0 {
-		time.AfterFunc(cancelAfter, func() { cancel(ErrCancelled) })
+	cancelSoon := func() { time.AfterFunc(cancelDelay, func() { cancel(ErrCancelled) }) }
+	if cancelled == cancelledAfterCall {
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(httptrace.WroteRequestInfo) { cancelSoon() }})
 	}
 	s, result := c.Write(ctx, cancel, &Call{Address: address, ID: "c-0", IdempotencyKey: "k", Body: []byte(`{}`)}, timeout)
 	events := 0
@@ -97,7 +111,9 @@
 			if _, err := s.Next(); err != nil {
 				break
 			}
-			events++
+			if events++; events == 1 && cancelled == cancelledAfterToken {
+				cancelSoon()
+			}
 		}
 		result = s.Close()
 	}
@@ -112,38 +128,38 @@
 		events       int
 		answered     bool
 		cachedTokens float64
-		cancel       time.Duration
+		cancelled    cancelMoment
 	}{
-		"complete answer":              {sendAndHang(okHead, chunk(role), chunk(token), chunk(token+stop), chunk(usageText+done), "0\r\n\r\n"), decide.Finished, 5, false, 4, 0},
-		"output after [DONE]":          {sendAndHang(okHead, chunk(token), chunk(stop+done+token), "0\r\n\r\n"), decide.Finished, 2, false, 0, 0},
-		"reset before the first byte":  {reset, decide.Broken, 0, false, 0, 0},
-		"closed before the first byte": {send(), decide.Broken, 0, false, 0, 0},
-		"reset after a token":          {func(c net.Conn) { send(okHead, chunk(token))(c); time.Sleep(30 * time.Millisecond); reset(c) }, decide.Broken, 1, false, 0, 0},
-		"truncated":                    {send(okHead, chunk(token), "0\r\n\r\n"), decide.Broken, 1, false, 0, 0},
-		"full":                         {send("HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 0, 0},
-		"missing state":                {send("HTTP/1.1 424 Failed Dependency\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 1, 0},
-		"5xx":                          {send("HTTP/1.1 503 Bad\r\nContent-Length: 0\r\n\r\n"), decide.Errored, 0, false, 0, 0},
-		"invalid completion":           {send("HTTP/1.1 400 Bad\r\nContent-Length: 2\r\n\r\n{}"), decide.Cancelled, 0, true, 0, 0},
-		"silent":                       {sendAndHang(), decide.TimedOut, 0, false, 0, 0},
-		"slow bytes":                   {sendSlowly, decide.TimedOut, 0, false, 0, 0},
-		"silent after a token":         {sendAndHang(okHead, chunk(token)), decide.TimedOut, 1, false, 0, 0},
-		"no HTTP":                      {send("hello\r\n\r\n"), decide.Errored, 0, false, 0, 0},
-		"no event stream":              {send("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi"), decide.Errored, 0, false, 0, 0},
-		"no JSON":                      {sendAndHang(okHead, chunk("data: {\n\n")), decide.Errored, 0, false, 0, 0},
-		"no JSON after a token":        {sendAndHang(okHead, chunk(token), chunk("data: {\n\n")), decide.Errored, 1, false, 0, 0},
-		"deep event":                   {sendAndHang(okHead, chunk(strings.Replace(token, "{", `{"x":`+nestedArrays(64)+",", 1))), decide.Errored, 0, false, 0, 0},
-		"error event":                  {sendAndHang(okHead, chunk(`data: {"error":{"message":"x"}}`+"\n\n")), decide.Errored, 0, false, 0, 0},
-		"[DONE] without a reason":      {sendAndHang(okHead, chunk(token+done)), decide.Errored, 1, false, 0, 0},
-		"endless event":                {sendEndlessEvent, decide.Errored, 0, false, 0, 0},
-		"endless header":               {sendEndlessHeader, decide.Errored, 0, false, 0, 0},
-		"cancelled before a token":     {sendAndHang(), decide.Cancelled, 0, false, 0, 50 * time.Millisecond},
-		"cancelled after a token":      {sendAndHang(okHead, chunk(token)), decide.Cancelled, 1, false, 0, 50 * time.Millisecond},
-		"endless roles":                {sendAndHang(okHead, strings.Repeat(chunk(role), 40)), decide.Errored, 0, false, 0, 0},
-		"comments and other fields":    {sendAndHang(okHead, chunk(": hi\n\nevent: x\nid: 3\n"+token+stop), chunk(done), "0\r\n\r\n"), decide.Finished, 2, false, 0, 0},
+		"complete answer":              {sendAndHang(okHead, chunk(role), chunk(token), chunk(token+stop), chunk(usageText+done), "0\r\n\r\n"), decide.Finished, 5, false, 4, neverCancelled},
+		"output after [DONE]":          {sendAndHang(okHead, chunk(token), chunk(stop+done+token), "0\r\n\r\n"), decide.Finished, 2, false, 0, neverCancelled},
+		"reset before the first byte":  {reset, decide.Broken, 0, false, 0, neverCancelled},
+		"closed before the first byte": {send(), decide.Broken, 0, false, 0, neverCancelled},
+		"reset after a token":          {func(c net.Conn) { send(okHead, chunk(token))(c); time.Sleep(30 * time.Millisecond); reset(c) }, decide.Broken, 1, false, 0, neverCancelled},
+		"truncated":                    {send(okHead, chunk(token), "0\r\n\r\n"), decide.Broken, 1, false, 0, neverCancelled},
+		"full":                         {send("HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 0, neverCancelled},
+		"missing state":                {send("HTTP/1.1 424 Failed Dependency\r\nContent-Length: 0\r\n\r\n"), decide.Full, 0, false, 1, neverCancelled},
+		"5xx":                          {send("HTTP/1.1 503 Bad\r\nContent-Length: 0\r\n\r\n"), decide.Errored, 0, false, 0, neverCancelled},
+		"invalid completion":           {send("HTTP/1.1 400 Bad\r\nContent-Length: 2\r\n\r\n{}"), decide.Cancelled, 0, true, 0, neverCancelled},
+		"silent":                       {sendAndHang(), decide.TimedOut, 0, false, 0, neverCancelled},
+		"slow bytes":                   {sendSlowly, decide.TimedOut, 0, false, 0, neverCancelled},
+		"silent after a token":         {sendAndHang(okHead, chunk(token)), decide.TimedOut, 1, false, 0, neverCancelled},
+		"no HTTP":                      {send("hello\r\n\r\n"), decide.Errored, 0, false, 0, neverCancelled},
+		"no event stream":              {send("HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nhi"), decide.Errored, 0, false, 0, neverCancelled},
+		"no JSON":                      {sendAndHang(okHead, chunk("data: {\n\n")), decide.Errored, 0, false, 0, neverCancelled},
+		"no JSON after a token":        {sendAndHang(okHead, chunk(token), chunk("data: {\n\n")), decide.Errored, 1, false, 0, neverCancelled},
+		"deep event":                   {sendAndHang(okHead, chunk(strings.Replace(token, "{", `{"x":`+nestedArrays(64)+",", 1))), decide.Errored, 0, false, 0, neverCancelled},
+		"error event":                  {sendAndHang(okHead, chunk(`data: {"error":{"message":"x"}}`+"\n\n")), decide.Errored, 0, false, 0, neverCancelled},
+		"[DONE] without a reason":      {sendAndHang(okHead, chunk(token+done)), decide.Errored, 1, false, 0, neverCancelled},
+		"endless event":                {sendEndlessEvent, decide.Errored, 0, false, 0, neverCancelled},
+		"endless header":               {sendEndlessHeader, decide.Errored, 0, false, 0, neverCancelled},
+		"cancelled before a token":     {sendAndHang(), decide.Cancelled, 0, false, 0, cancelledAfterCall},
+		"cancelled after a token":      {sendAndHang(okHead, chunk(token)), decide.Cancelled, 1, false, 0, cancelledAfterToken},
+		"endless roles":                {sendAndHang(okHead, strings.Repeat(chunk(role), 40)), decide.Errored, 0, false, 0, neverCancelled},
+		"comments and other fields":    {sendAndHang(okHead, chunk(": hi\n\nevent: x\nid: 3\n"+token+stop), chunk(done), "0\r\n\r\n"), decide.Finished, 2, false, 0, neverCancelled},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			result, events, elapsed := runWrite(t, startEngine(t, tc.script), 300*time.Millisecond, tc.cancel)
+			result, events, elapsed := runWrite(t, startEngine(t, tc.script), 300*time.Millisecond, tc.cancelled)
 			assert.Equal(t, tc.outcome, result.Outcome, "%v", result.Err)
 			assert.Equal(t, tc.events, events)
 			assert.Equal(t, tc.answered, result.Answered)
@@ -191,7 +207,7 @@
 				send(okHead, chunk(tc.begin))(conn)
 				sendEvery(conn, tc.then)
 			})
-			result, _, elapsed := runWrite(t, address, time.Second, 0)
+			result, _, elapsed := runWrite(t, address, time.Second, neverCancelled)
 			assert.Equal(t, decide.TimedOut, result.Outcome, "%v", result.Err)
 			assert.Less(t, elapsed, time.Second)
 		})
@@ -220,7 +236,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ln.Close()
-	result, _, _ := runWrite(t, ln.Addr().String(), time.Second, 0)
+	result, _, _ := runWrite(t, ln.Addr().String(), time.Second, neverCancelled)
 	assert.Equal(t, decide.Unreachable, result.Outcome)
 	assert.Equal(t, decide.Unreachable, ProbeOutcome(probeError(t, ln.Addr().String())))
 }
