--- /dev/null
+++ b/review/standins-2/platform.go
@@ -0,0 +1,297 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// listEntry is an entry of the engine list.
+type listEntry struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+}
+
+type listAnswer struct {
+	Seq   int64       `json:"seq"`
+	Whole bool        `json:"whole"`
+	Hosts []listEntry `json:"hosts"`
+}
+
+// discovery is a stand-in for the agent on a router's machine. While it is down, it accepts connections and calls and answers none of them;
+// a watch that has fallen silent so, or a call that was made meanwhile, stays unanswered. From its return on it answers every new call at
+// once.
+type discovery struct {
+	mu      sync.Mutex
+	list    listAnswer
+	changes []listAnswer
+	changed chan struct{}
+	down    bool
+	outages int // so far; a call that has seen another number is never answered
+	learned map[string]time.Time
+	answers []string // what was answered, for the record
+	ln      net.Listener
+	start   time.Time
+}
+
+func startDiscovery(entries []listEntry, start time.Time) (*discovery, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d := &discovery{list: listAnswer{Seq: 1, Whole: true, Hosts: entries}, changed: make(chan struct{}), learned: map[string]time.Time{}, ln: ln, start: start}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /discovery/hosts", d.serve)
+	go (&http.Server{Handler: mux}).Serve(ln) //nolint:errcheck // ends with the process
+	return d, nil
+}
+
+func (d *discovery) address() string { return d.ln.Addr().String() }
+
+// update changes an entry. While discovery is down the agent learns of it only at the return.
+func (d *discovery) update(entry listEntry) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list.Seq++
+	for i := range d.list.Hosts {
+		if d.list.Hosts[i].Host == entry.Host {
+			d.list.Hosts[i] = entry
+		}
+	}
+	d.changes = append(d.changes, listAnswer{Seq: d.list.Seq, Hosts: []listEntry{entry}})
+	if !d.down {
+		d.learned[entry.Host] = time.Now()
+		close(d.changed)
+		d.changed = make(chan struct{})
+	}
+}
+
+// setDown takes discovery down.
+func (d *discovery) setDown() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = true
+	d.outages++
+}
+
+// setUp brings discovery back. What changed meanwhile is told from now on.
+func (d *discovery) setUp() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = false
+	now := time.Now()
+	for _, change := range d.changes {
+		for _, entry := range change.Hosts {
+			if _, known := d.learned[entry.Host]; !known {
+				d.learned[entry.Host] = now
+			}
+		}
+	}
+	return now
+}
+
+func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	from, watch := r.URL.Query()["from"]
+	d.mu.Lock()
+	outages, silent := d.outages, d.down
+	version := int64(-1)
+	if watch {
+		version, _ = strconv.ParseInt(from[0], 10, 64)
+		hold, _ := strconv.Atoi(r.URL.Query().Get("hold_ms"))
+		until := time.After(time.Duration(hold) * time.Millisecond)
+		for waiting := true; waiting && !silent && version >= d.list.Seq; silent = silent || d.outages != outages {
+			changed := d.changed
+			d.mu.Unlock()
+			select {
+			case <-changed:
+			case <-until:
+				waiting = false
+			case <-r.Context().Done():
+				return
+			}
+			d.mu.Lock()
+		}
+	}
+	if silent || d.outages != outages {
+		d.mu.Unlock()
+		<-r.Context().Done()
+		return
+	}
+	answer := d.list
+	if watch {
+		answer = listAnswer{Seq: d.list.Seq, Hosts: []listEntry{}}
+		for _, change := range d.changes {
+			if change.Seq > version {
+				answer.Hosts = append(answer.Hosts, change.Hosts...)
+			}
+		}
+	}
+	text, _ := json.Marshal(answer)
+	if !watch || len(answer.Hosts) > 0 {
+		d.answers = append(d.answers, fmt.Sprintf("%8.3f discovery answers %s: %s", time.Since(d.start).Seconds(), r.URL.RawQuery, text))
+	}
+	d.mu.Unlock()
+	w.Write(text) //nolint:errcheck // the router sees the failure
+}
+
+// routerProcess is a router started by the deploy file's run line.
+type routerProcess struct {
+	cmd    *exec.Cmd
+	listen string
+	done   chan struct{}
+	err    error
+}
+
+// runLine returns the run line of the deploy file, which is run from the root of the repository.
+func runLine() (string, error) {
+	text, err := os.ReadFile("deploy/balancer.toml")
+	if err != nil {
+		return "", err
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, found := strings.CutPrefix(strings.TrimSpace(line), `run = "`); found {
+			command, _, _ := strings.Cut(rest, `"`)
+			return command, nil
+		}
+	}
+	return "", fmt.Errorf("deploy/balancer.toml: no run line")
+}
+
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// startRouter starts a router and waits until it is ready.
+func startRouter(folder, name, discoveryAddress string, known listAnswer, settings map[string]any) (*routerProcess, error) {
+	command, err := runLine()
+	if err != nil {
+		return nil, err
+	}
+	listen, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	config, err := json.Marshal(map[string]any{"name": name, "listen": listen, "discovery": discoveryAddress, "seed": fmt.Sprintf("%016x", time.Now().UnixNano()),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings})
+	if err != nil {
+		return nil, err
+	}
+	file := filepath.Join(folder, name+".json")
+	if err := os.WriteFile(file, config, 0o600); err != nil {
+		return nil, err
+	}
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p := &routerProcess{cmd: exec.Command("/bin/sh", "-c", command), listen: listen, done: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "EDGE_NAME="+name, "EDGE_LISTEN="+listen, "EDGE_DISCOVERY="+discoveryAddress, "EDGE_CONFIG="+file, "TMPDIR="+folder)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if p.up() {
+			return p, nil
+		}
+		select {
+		case <-p.done:
+			return nil, fmt.Errorf("router %s ended: %w", name, p.err)
+		default:
+		}
+	}
+	p.stop()
+	return nil, fmt.Errorf("router %s is not ready", name)
+}
+
+func (p *routerProcess) up() bool {
+	conn, err := net.DialTimeout("tcp", p.listen, time.Second)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second)) //nolint:errcheck // reads fail then
+	fmt.Fprint(conn, "GET /up HTTP/1.1\r\nHost: app.svc\r\nConnection: close\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+// ended reports whether the process has ended by itself.
+func (p *routerProcess) ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// stop ends the process.
+func (p *routerProcess) stop() {
+	p.cmd.Process.Kill() //nolint:errcheck // it may have ended
+	<-p.done
+}
+
+// lane is a class of requests in the settings.
+type lane struct {
+	name, effect, group string
+	deadline, window    time.Duration
+}
+
+// settingsOf returns the settings of a small deployment with two kinds of machines, reading and writing ones.
+func settingsOf(drainGrace, letGo time.Duration, secondCopies, resume bool, lanes ...lane) map[string]any {
+	var classes []map[string]any
+	for _, l := range lanes {
+		classes = append(classes, map[string]any{"name": l.name, "aim-ns": 1_500_000_000, "give-up-ns": l.deadline.Nanoseconds(), "worth": 3.0, "late-worth": 0.1,
+			"effect": l.effect, "group": l.group, "window-ns": l.window.Nanoseconds(), "stream": true})
+	}
+	perClass := func(n int) (values []int) {
+		for range lanes {
+			values = append(values, n)
+		}
+		return values
+	}
+	return map[string]any{"balancers": 1, "rank": 0, "my-zone": 0, "zones": []string{"hall"}, "kinds": []string{"prefill", "decode"}, "granularity-ns": 2_000_000,
+		"kind-of-service": "twostage", "stage": 0, "stages": []string{"models"}, "over-share-worth": 0.2, "registry-mode": "pushed", "weight-source": "rough", "worth-by": "work",
+		"callers": map[string]any{"marks-retry": false},
+		"family-info": map[string]any{"aim-us-per-1000-prompt-tokens": perClass(40000), "token-aim-ns": perClass(60_000_000), "holds-allowed": false,
+			"kv-tokens": []int{400000, 400000}, "let-go-by-ns": letGo.Nanoseconds(), "resume": resume, "stage-of-kind": []string{"read", "write"}, "transfer-price": 0.02, "writers-read": true},
+		"lanes": classes,
+		"limits": map[string]any{"cancel": true, "conn-idle-ns": 30_000_000_000, "connect-timeout-ns": 250_000_000, "max-open": 1000, "max-retry-after-ns": 500_000_000,
+			"max-streams": 32, "peers": false, "probes": true, "retry-after": true, "second-copies": secondCopies, "send-cap": 5},
+		"prices": map[string]any{"cross-zone": 0.0, "probe": 0.003},
+		"rules": map[string]any{"cold-from": 0.28, "fall-ns": 2_000_000_000, "grace-to-answer-ns": 8_000_000, "must-ask-in-ns": 10_000_000_000,
+			"stop-sending-within-ns": drainGrace.Nanoseconds(), "tip-multiple": 2.5, "warm-up-ns": 12_000_000_000},
+		"telemetry": map[string]any{"columns": []string{"util", "queue", "x0"}, "how": "answers"}}
+}
