--- a/review/standins-2/discovery_return.go
+++ b/review/standins-2/discovery_return.go
@@ -25,7 +25,7 @@
 	f.behave = func(c *call) behaviour {
 		return behaviour{service: 8 * time.Millisecond, tokenPause: 5 * time.Millisecond}
 	}
-	router, d, _, err := deployment(s, f, 2, 3, settingsOf(grace, time.Second, true, true, lane{name: "desk", effect: "free", group: "all", deadline: timeout, window: 5 * time.Second}), nil)
+	router, d, _, err := deployment(s, f, 2, 3, tallinnRefunds.settings(lane{name: "desk", effect: "free", deadline: timeout, window: 5 * time.Second}), nil)
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -161,7 +161,7 @@
 	return c, nil
 }
 
-const loadReport = `{"util":0.2,"queue":0,"x0":0.1}`
+const loadReport = `{"inflight":1,"util":0.2,"queue":0,"x0":0.1,"x1":0}`
 
 // answer answers a call and reports whether the connection serves further calls.
 func (e *engine) answer(conn net.Conn, c *call, gone <-chan struct{}) bool {
--- a/review/standins-2/platform.go
+++ b/review/standins-2/platform.go
@@ -265,33 +265,42 @@
 
 // lane is a class of requests in the settings.
 type lane struct {
-	name, effect, group string
-	deadline, window    time.Duration
+	name, effect     string
+	deadline, window time.Duration
 }
 
-// settingsOf returns the settings of a small deployment with two kinds of machines, reading and writing ones.
-func settingsOf(drainGrace, letGo time.Duration, secondCopies, resume bool, lanes ...lane) map[string]any {
-	var classes []map[string]any
-	for _, l := range lanes {
-		classes = append(classes, map[string]any{"name": l.name, "aim-ns": 1_500_000_000, "give-up-ns": l.deadline.Nanoseconds(), "worth": 3.0, "late-worth": 0.1,
-			"effect": l.effect, "group": l.group, "window-ns": l.window.Nanoseconds(), "stream": true})
-	}
-	perClass := func(n int) (values []int) {
-		for range lanes {
-			values = append(values, n)
-		}
-		return values
-	}
+// site is what the settings take from a site: the rest is that of a small deployment with two kinds of machines, reading and writing ones.
+type site struct {
+	drainGrace, letGo, idle           time.Duration
+	secondCopies, resume, writersRead bool
+	attempts                          int
+	fallMultiple                      float64
+	fall                              time.Duration
+	columns                           []string
+}
+
+var (
+	ammanQuoting = site{drainGrace: time.Second, letGo: 500 * time.Millisecond, idle: 30 * time.Second, secondCopies: true, resume: true, writersRead: true, attempts: 5,
+		fallMultiple: 2.5, fall: 2 * time.Second, columns: []string{"util", "queue", "x0"}}
+	tallinnRefunds = site{drainGrace: 250 * time.Millisecond, letGo: time.Second, idle: 15 * time.Second, secondCopies: true, resume: true, writersRead: true, attempts: 5,
+		fallMultiple: 4, fall: 2 * time.Second, columns: []string{"util", "queue", "x0"}}
+	partsAssist = site{drainGrace: 500 * time.Millisecond, letGo: time.Second, idle: 15 * time.Second, attempts: 6,
+		fallMultiple: 3, fall: time.Second, columns: []string{"inflight", "queue", "x0", "x1"}}
+)
+
+// settings returns the settings that a router of the site gets.
+func (t site) settings(l lane) map[string]any {
 	return map[string]any{"balancers": 1, "rank": 0, "my-zone": 0, "zones": []string{"hall"}, "kinds": []string{"prefill", "decode"}, "granularity-ns": 2_000_000,
-		"kind-of-service": "twostage", "stage": 0, "stages": []string{"models"}, "over-share-worth": 0.2, "registry-mode": "pushed", "weight-source": "rough", "worth-by": "work",
+		"kind-of-service": "twostage", "stage": 0, "stages": []string{"models"}, "over-share-worth": 0.2, "registry-mode": "pushed", "weight-source": "nominal", "worth-by": "work",
 		"callers": map[string]any{"marks-retry": false},
-		"family-info": map[string]any{"aim-us-per-1000-prompt-tokens": perClass(40000), "token-aim-ns": perClass(60_000_000), "holds-allowed": false,
-			"kv-tokens": []int{400000, 400000}, "let-go-by-ns": letGo.Nanoseconds(), "resume": resume, "stage-of-kind": []string{"read", "write"}, "transfer-price": 0.02, "writers-read": true},
-		"lanes": classes,
-		"limits": map[string]any{"cancel": true, "conn-idle-ns": 30_000_000_000, "connect-timeout-ns": 250_000_000, "max-open": 1000, "max-retry-after-ns": 500_000_000,
-			"max-streams": 32, "peers": false, "probes": true, "retry-after": true, "second-copies": secondCopies, "send-cap": 5},
+		"family-info": map[string]any{"aim-us-per-1000-prompt-tokens": []int{40000}, "token-aim-ns": []int{60_000_000}, "holds-allowed": false, "kv-tokens": []int{400000, 400000},
+			"let-go-by-ns": t.letGo.Nanoseconds(), "resume": t.resume, "stage-of-kind": []string{"read", "write"}, "transfer-price": 0.03, "writers-read": t.writersRead},
+		"lanes": []map[string]any{{"name": l.name, "aim-ns": 1_500_000_000, "give-up-ns": l.deadline.Nanoseconds(), "worth": 1.0, "late-worth": 0.3,
+			"effect": l.effect, "group": "all", "window-ns": l.window.Nanoseconds(), "stream": true}},
+		"limits": map[string]any{"cancel": true, "conn-idle-ns": t.idle.Nanoseconds(), "connect-timeout-ns": 250_000_000, "max-open": 1000, "max-retry-after-ns": 500_000_000,
+			"max-streams": 32, "peers": false, "probes": true, "retry-after": true, "second-copies": t.secondCopies, "send-cap": t.attempts},
 		"prices": map[string]any{"cross-zone": 0.0, "probe": 0.003},
-		"rules": map[string]any{"cold-from": 0.28, "fall-ns": 2_000_000_000, "grace-to-answer-ns": 8_000_000, "must-ask-in-ns": 10_000_000_000,
-			"stop-sending-within-ns": drainGrace.Nanoseconds(), "tip-multiple": 2.5, "warm-up-ns": 12_000_000_000},
-		"telemetry": map[string]any{"columns": []string{"util", "queue", "x0"}, "how": "answers"}}
+		"rules": map[string]any{"cold-from": 0.28, "fall-ns": t.fall.Nanoseconds(), "grace-to-answer-ns": 8_000_000, "must-ask-in-ns": 10_000_000_000,
+			"stop-sending-within-ns": t.drainGrace.Nanoseconds(), "tip-multiple": t.fallMultiple, "warm-up-ns": 12_000_000_000},
+		"telemetry": map[string]any{"columns": t.columns, "how": "answers"}}
 }
--- a/review/standins-2/repeat_window.go
+++ b/review/standins-2/repeat_window.go
@@ -33,7 +33,7 @@
 	if s.trouble {
 		late = func() time.Duration { return rand.N(maxLate) }
 	}
-	router, _, relays, err := deployment(s, f, 2, 3, settingsOf(time.Second, 500*time.Millisecond, false, false, lane{name: "order", effect: "guarded", group: "all", deadline: timeout, window: window}), late)
+	router, _, relays, err := deployment(s, f, 2, 3, partsAssist.settings(lane{name: "order", effect: "guarded", deadline: timeout, window: window}), late)
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/second_answer.go
+++ b/review/standins-2/second_answer.go
@@ -32,7 +32,7 @@
 		}
 		return b
 	}
-	router, _, _, err := deployment(s, f, 2, 3, settingsOf(time.Second, 500*time.Millisecond, true, true, lane{name: "chat", effect: "free", group: "all", deadline: 7500 * time.Millisecond, window: 5 * time.Second}), nil)
+	router, _, _, err := deployment(s, f, 2, 3, ammanQuoting.settings(lane{name: "chat", effect: "free", deadline: 7500 * time.Millisecond, window: 5 * time.Second}), nil)
 	if err != nil {
 		return err
 	}
