--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x bin/cherryhub ] && [ -x bin/review-standins-2 ] || { echo "not built" >&2; exit 2; }
-exec bin/review-standins-2 cut-report "$folder/record.txt"
+exec bin/review-standins-2 misfit "$folder/record.txt"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the second review's cases (6 and later). They are one program; it is run from the root of the repository.
+# Builds the stand-ins of the second review's cases (6 to 10). They are one program; it is run from the root of the repository.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -22,6 +22,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	router, err := startRouter(s.folder, "n1", d.address(), listAnswer{Seq: 1, Whole: true, Hosts: entries}, settings)
+	router, err := startRouter(s.folder, "n1", d.address(), s.memoryMB, s.sockets, listAnswer{Seq: 1, Whole: true, Hosts: entries}, settings)
 	return router, engines, err
 }
