Bound the leases and releases of clients that leave

Cause: each read that was cut off kept its completion, with body and client, up to the client's deadline and sent a release each 0.6 of the hold limit; nothing bounded their number. Up to 8,192 releases ran at once, and each that took over 60 ms was sent to six more engines, so a router that was slow by its own load made seven calls of one release.

Evidence: the goroutines of a router at 53 MB: 1,723 releases, 1,822 of their calls, some 2,100 timers, 207 of clients' connections.

Change: beyond 128 leases that linger (decide.MaxLingeringLeases: closed for 0.4 s, and a release answered since) the oldest is dropped; at most 128 tries at releases run at once, the others wait without a goroutine; at most 32 calls run beside another one of the same release; a completion that is over keeps neither body nor client. This works as what is kept no longer grows with the clients that leave, while each read that was cut off still gets a release after its engine has surely noticed the close.

--- a/decide/lease.go
+++ b/decide/lease.go
@@ -9,6 +9,11 @@
 // call may still wait there, and keep its state from a release that arrives right after the close.
 const connCloseDelaySeconds = 0.4
 
+// MaxLingeringLeases is how many leases a router keeps of completions that are over and hold state only if a call that was cut off runs on
+// at its engine (Lease.Lingers). Beyond it the oldest is dropped: clients that leave would otherwise make a router send releases without a
+// bound. What such a call leaves behind is then held until its engine frees it.
+const MaxLingeringLeases = 128
+
 // ConnCheckAfterSeconds is the time since a connection's last answer after which a probe checks it before it takes a dispatch that
 // needs held state. It guards against connections that have gone silent: the held state would be released, and the prompt read again. It
 // costs a round trip and a probe. No rule depends on it.
@@ -25,6 +30,7 @@
 	heldSince         float64 // since when state has been held, for the hold limit
 	lastReadEnd       float64 // when the last read ended that may have left state
 	runsUntil         float64 // calls that ended without an answer may run on at their engines until then, and leave state
+	cutOffAt          float64 // when the last call ended without an answer
 	clearedAt         float64 // when the last answered release was sent, or the last write gave its first byte
 	releasedSinceRead bool    // a release was sent since the last read was answered
 }
@@ -61,6 +67,7 @@
 
 // unanswered records that a call ended without an answer and may run on at its engine until the given time.
 func (l *Lease) unanswered(now, until float64) {
+	l.cutOffAt = now
 	l.runsUntil = max(l.runsUntil, until, now+connCloseDelaySeconds)
 }
 
@@ -84,6 +91,12 @@
 // Active reports whether state may be held now or later.
 func (l *Lease) Active() bool { return l.mayHold || l.runsUntil > l.clearedAt }
 
+// Lingers reports whether state can be held only if an engine runs a call on whose connection has been closed for a while: a release that
+// was sent after the engine should have noticed that has been answered.
+func (l *Lease) Lingers() bool {
+	return !l.mayHold && l.Active() && l.clearedAt >= l.cutOffAt+connCloseDelaySeconds
+}
+
 // HeldFor returns how long state may have been held, and false if none is.
 func (l *Lease) HeldFor(now float64) (float64, bool) { return now - l.heldSince, l.mayHold }
 
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"container/list"
 	"context"
 	"errors"
 	"sync"
@@ -33,6 +34,8 @@
 	state            *heldResource // state held at a reader
 	reservation      *heldResource
 	lease            lease // replaces both with Options.ReleaseByCompletion
+
+	lingeringElement *list.Element // its place in Edge.lingering, nil if it is not there
 }
 
 const answeredWithoutDispatch = -1
@@ -126,19 +129,37 @@
 // held.
 func (c *completion) closeIfDone() {
 	c.mu.Lock()
-	done := c.answered && c.activeDispatches == 0 && c.state == nil && c.reservation == nil
+	over := c.answered && c.activeDispatches == 0
+	done := over && c.state == nil && c.reservation == nil
 	if done && c.lease.Active() && !c.lease.finalReleaseSent {
 		c.lease.finalReleaseSent = true
 		c.releaseLease("over")
 	}
 	done = done && !c.lease.pending()
+	onBodyDone := c.request.OnBodyDone
+	if over {
+		c.dropBody()
+	}
+	if done {
+		c.edge.lingering.remove(c)
+	}
 	c.mu.Unlock()
+	if over && onBodyDone != nil {
+		onBodyDone()
+	}
 	if done {
 		c.edge.remove(c.id)
 		c.request.OnDone()
 	}
 }
 
+// dropBody lets go of what only dispatches and the final answer need, once there are none any more: a lease may keep the completion for
+// long. The completion's mutex must be held.
+func (c *completion) dropBody() {
+	c.client, c.dispatches = nil, nil
+	c.request.BuildBody, c.request.OnBodyDone = nil, nil
+}
+
 // cancelDispatch cancels a dispatch unless it has won and is being relayed to the client.
 func (c *completion) cancelDispatch(number int) {
 	c.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,6 +127,8 @@
 	activeCalls     atomic.Int64 // running dispatches, probes, reservations and releases
 	stopping        atomic.Bool
 	activeReleases  atomic.Int64
+	releaseQueue    releaseQueue
+	lingering       lingeringLeases
 	serveMu         sync.Mutex
 	serveDone       chan struct{} // closed when Serve returns; nil before Serve starts
 	shards          [64]shard
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -531,13 +531,13 @@
 func (p plannerFunc) Offer(ev link.Event) bool { return p(ev) }
 func (p plannerFunc) Notify(ev link.Event)     { p(ev) }
 
-// TestReleasesAreBounded checks that a release beyond maxConcurrentReleases is given up with an error that names the state.
+// TestReleasesAreBounded checks that a release beyond maxPendingReleases is given up with an error that names the state.
 func TestReleasesAreBounded(t *testing.T) {
 	s, logs := &scriptedPlanner{}, &bytes.Buffer{}
 	startEdge(t, s, func(o *Options) { o.Log = slog.New(slog.NewTextHandler(logs, nil)) })
-	s.edge.activeReleases.Store(maxConcurrentReleases)
+	s.edge.activeReleases.Store(maxPendingReleases)
 	s.edge.release(&heldResource{address: "127.0.0.1:1", id: "ch-x-1"}, "planner")
-	assert.Equal(t, int64(maxConcurrentReleases), s.edge.activeReleases.Load())
+	assert.Equal(t, int64(maxPendingReleases), s.edge.activeReleases.Load())
 	assert.Contains(t, logs.String(), "too many releases run")
 	assert.Contains(t, logs.String(), "ch-x-1")
 	_, dispatches := s.edge.Active()
--- a/internal/edge/lease.go
+++ b/internal/edge/lease.go
@@ -38,8 +38,8 @@
 	return slices.ContainsFunc(c.dispatches, func(d *dispatch) bool { return !d.isRead && !d.ended && !d.started })
 }
 
-// armLeaseTimer sets the timer for the next release. The completion's mutex must be held, as for all functions below except leaseActive
-// and recordReleaseEnd.
+// armLeaseTimer sets the timer for the next release. The completion's mutex must be held, as for all functions below except leaseActive,
+// recordReleaseEnd and dropLease.
 func (c *completion) armLeaseTimer() {
 	c.lease.stopTimer()
 	delay, due := c.timeUntilRelease()
@@ -119,6 +119,23 @@
 		c.lease.Lease = decide.Lease{}
 	}
 	c.armLeaseTimer()
+	var excess *completion
+	if c.answered && c.activeDispatches == 0 && c.lease.Lingers() {
+		excess = c.edge.lingering.add(c)
+	}
+	c.mu.Unlock()
+	if excess != nil {
+		excess.dropLease()
+	}
+	c.closeIfDone()
+}
+
+// dropLease gives the lease up, so that no further release is sent.
+func (c *completion) dropLease() {
+	c.mu.Lock()
+	c.logLease("dropped", "too many leases linger")
+	c.lease.stopTimer()
+	c.lease.Lease = decide.Lease{}
 	c.mu.Unlock()
 	c.closeIfDone()
 }
--- a/internal/edge/release.go
+++ b/internal/edge/release.go
@@ -119,16 +119,6 @@
 	c.closeIfDone()
 }
 
-// Bounds on releases. A failed release is retried for up to maxReleaseDuration. An attempt takes at most a third of the hold limit. The
-// first retry follows quickly, because little of the hold limit is left; the delay then doubles up to a third of the hold limit. So an
-// engine that was unreachable, down or hung gets the release within the hold limit once it responds again. An engine that needs longer to
-// answer receives repeated releases that find nothing to free.
-const (
-	maxReleaseDuration       = time.Minute
-	maxConcurrentReleases    = 8192
-	initialReleaseRetryDelay = 10 * time.Millisecond
-)
-
 // release frees a held resource at its engine in the background.
 func (e *Edge) release(h *heldResource, reason string) {
 	e.releaseWhile(h, reason, func() bool { return true }, func(time.Time, bool) {})
@@ -157,35 +147,14 @@
 // attempt and whether that was answered.
 func (e *Edge) releaseWhile(h *heldResource, reason string, wanted func() bool, onDone func(sent time.Time, answered bool)) {
 	e.options.Observer.ReleaseStarted(reason)
-	if e.activeReleases.Add(1) > maxConcurrentReleases {
+	if e.activeReleases.Add(1) > maxPendingReleases {
 		e.activeReleases.Add(-1)
 		e.options.Log.Error("state not released: too many releases run", "engine", h.address, "id", h.id)
 		go onDone(time.Time{}, false)
 		return
 	}
 	e.activeCalls.Add(1)
-	go func() {
-		defer e.activeCalls.Add(-1)
-		defer e.activeReleases.Add(-1)
-		sent, answered := time.Time{}, false
-		defer func() { onDone(sent, answered) }()
-		start := time.Now()
-		for delay := initialReleaseRetryDelay; wanted(); delay = min(2*delay, e.options.HoldLimit/3) {
-			sent = time.Now()
-			ctx, cancel := context.WithTimeout(context.Background(), e.options.HoldLimit/3)
-			err := e.options.Engines.Release(ctx, h.address, h.id)
-			cancel()
-			e.options.Log.Debug("released", "id", h.id, "engine", h.address, "reason", reason, "seconds", time.Since(start).Seconds(), "err", err)
-			if answered = err == nil; answered {
-				return
-			}
-			if time.Since(start) > maxReleaseDuration || e.callsCtx.Err() != nil && time.Since(start) > finalStopTimeout/2 {
-				e.options.Log.Warn("state not released", "engine", h.address, "id", h.id, "err", err)
-				return
-			}
-			time.Sleep(delay)
-		}
-	}()
+	e.releaseQueue.submit(&pendingRelease{edge: e, resource: h, reason: reason, wanted: wanted, onDone: onDone, startedAt: time.Now(), retryDelay: initialReleaseRetryDelay})
 }
 
 // reserve reserves KV cache space at a writer in the background.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -22,6 +22,7 @@
 	AnswerMargin      time.Duration                          // part of the timeouts reserved for delivering the final answer
 	TotalTimeout      time.Duration                          // until the end of the answer
 	BuildBody         func(isRead bool, state []byte) []byte // body of a dispatch; state is the result of a read, nil for none
+	OnBodyDone        func()                                 // called once BuildBody is not needed any more, nil for none
 	OnDone            func()                                 // called when nothing more can happen to the completion; may be called more than once
 }
 
--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -9,6 +9,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cherryhub/internal/edge"
@@ -32,6 +33,8 @@
 	dialer      *engine.Dialer
 	parseReport func([]byte) []float64
 
+	hedgedReleases atomic.Int64 // calls made in parallel to another one for the same release
+
 	mu        sync.Mutex
 	endpoints map[string]*endpoint // by engine name
 	names     []string             // of all engines, in the order in which they were added
--- a/internal/platform/backend/calls.go
+++ b/internal/platform/backend/calls.go
@@ -55,7 +55,8 @@
 
 // Release frees everything that any engine holds for the completion. Any engine accepts the call. If no answer comes soon, the
 // same engine is called again on a new connection, because all idle ones may have gone silent, and then other engines in parallel
-// until one of them answers.
+// until one of them answers. maxHedgedReleases bounds the calls made in parallel to others: if answers are slow because this router is
+// overloaded, more calls would only slow them further.
 func (c *Client) Release(ctx context.Context, name, id string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -72,7 +73,18 @@
 			if len(remaining) == 0 {
 				continue
 			}
-			go func(engineName string, newConn bool) { results <- c.releaseAt(ctx, engineName, id, newConn) }(remaining[0], newConn)
+			hedged := pending > 0
+			if hedged && !c.beginHedge() {
+				timer.Reset(nextReleaseRetryDelay)
+				continue
+			}
+			go func(engineName string, newConn bool) {
+				err := c.releaseAt(ctx, engineName, id, newConn)
+				if hedged {
+					c.hedgedReleases.Add(-1)
+				}
+				results <- err
+			}(remaining[0], newConn)
 			remaining, pending, newConn = remaining[1:], pending+1, true
 			timer.Reset(wait)
 			wait = nextReleaseRetryDelay
@@ -90,6 +102,15 @@
 	return lastErr
 }
 
+// beginHedge reports whether one more release may be sent in parallel to another, and counts it.
+func (c *Client) beginHedge() bool {
+	if c.hedgedReleases.Add(1) <= maxHedgedReleases {
+		return true
+	}
+	c.hedgedReleases.Add(-1)
+	return false
+}
+
 // releaseAt sends the release to one engine. newConn forces a new connection.
 func (c *Client) releaseAt(ctx context.Context, name, id string, newConn bool) error {
 	status, _, _, err := c.control(ctx, name, "DELETE", roomsPath+id, request{requirement: connRequirement{newConn: newConn}})
@@ -102,6 +123,7 @@
 // Limits of a release, which is sent to one engine after another.
 const (
 	maxReleaseEngines      = 6
+	maxHedgedReleases      = 32                    // of all releases together
 	firstReleaseRetryDelay = 60 * time.Millisecond // from the first attempt to the second
 	nextReleaseRetryDelay  = 25 * time.Millisecond // between later attempts
 )
--- a/internal/platform/backend/check_test.go
+++ b/internal/platform/backend/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -93,6 +94,33 @@
 	require.NoError(t, c.Release(ctx, "a", "x"))
 }
 
+// Many releases at once, all without an answer, make few calls of other engines: where it is the router that is slow, seven calls for each
+// release would only slow it further.
+func TestHedgedReleasesAreBounded(t *testing.T) {
+	const releases, maxHedged = 50, 32
+	fleet := standin.NewFleet()
+	fleet.InjectFault = func(*standin.Call, int) standin.Fault { return standin.Silent }
+	var engines []EngineEntry
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		e, err := fleet.StartEngine(name, true)
+		require.NoError(t, err)
+		defer e.Close()
+		engines = append(engines, EngineEntry{Name: name, Address: e.Address()})
+	}
+	c := New(Options{ConnectTimeout: time.Second, EngineIdleTimeout: time.Second, MaxConns: 1000})
+	t.Cleanup(c.Close)
+	c.UpdateEngines(true, engines, nil)
+	ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond/3)
+	defer cancel()
+	var all sync.WaitGroup
+	for range releases {
+		all.Go(func() { c.Release(ctx, "a", "x") }) //nolint:errcheck // none has an answer
+	}
+	all.Wait()
+	require.LessOrEqual(t, len(fleet.Calls(standin.Release)), releases+maxHedged)
+	require.Zero(t, c.hedgedReleases.Load())
+}
+
 // A dispatch that requires a check is not written to a new connection that never answers. The engine counts as unreachable, and
 // the next connection, which works, is used.
 func TestNewConnectionIsChecked(t *testing.T) {
--- a/internal/platform/front/closing_test.go
+++ b/internal/platform/front/closing_test.go
@@ -101,6 +101,7 @@
 	holding              bool
 	heldIDs              []uint64
 	offered, clientsLeft atomic.Int64
+	command              link.Command // for each completion; its zero value stands for a rate limit
 }
 
 func (p *rateLimitingPlanner) Offer(ev link.Event) bool {
@@ -112,7 +113,12 @@
 	}
 	p.mu.Unlock()
 	if !holding {
-		p.edge.Execute(link.Command{Kind: link.RateLimit, Completion: ev.Completion})
+		cmd := p.command
+		if cmd == (link.Command{}) {
+			cmd.Kind = link.RateLimit
+		}
+		cmd.Completion = ev.Completion
+		p.edge.Execute(cmd)
 	}
 	return true
 }
@@ -157,11 +163,15 @@
 }
 
 func newTestServer(t *testing.T, h hooks, acceptErrors ...error) *testServer {
+	return newTestServerWith(t, h, noEngines{}, acceptErrors...)
+}
+
+func newTestServerWith(t *testing.T, h hooks, engines edge.Engines, acceptErrors ...error) *testServer {
 	ln, err := loopback.Listen("127.0.0.1")
 	require.NoError(t, err)
 	r := &testServer{t: t, planner: &rateLimitingPlanner{}, listener: &hookedListener{Listener: ln, acceptErrors: acceptErrors, hooks: h}, served: make(chan error, 1)}
 	log := slog.New(slog.DiscardHandler)
-	e := edge.New(edge.Options{Engines: noEngines{}, ReleaseByCompletion: true, HoldLimit: time.Second, Log: log, Observer: nopObserver{}, Probe: func(context.Context, string) ([]float64, error) {
+	e := edge.New(edge.Options{Engines: engines, ReleaseByCompletion: true, HoldLimit: time.Second, Log: log, Observer: nopObserver{}, Probe: func(context.Context, string) ([]float64, error) {
 		return nil, engine.ErrProbeSkipped
 	}})
 	r.planner.edge = e
--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -220,7 +220,7 @@
 		s.resumeRequests.Add(1)
 	}
 	reserved := int64(0)
-	releaseMemory := func() { s.bufferedBodyBytes.Add(-reserved) }
+	releaseMemory := sync.OnceFunc(func() { s.bufferedBodyBytes.Add(-reserved) })
 	body, err := http1.ReadBody(c.reader, h, requestLimits, func(n int) error {
 		if s.bufferedBodyBytes.Add(int64(n)) > s.options.MaxBufferedBodyBytes {
 			s.bufferedBodyBytes.Add(-int64(n))
@@ -267,7 +267,7 @@
 		s.mu.Unlock()
 	})
 	c.handleCompletion(&edge.Request{ID: s.options.Edge.NextID(), ExternalID: req.id, IdempotencyKey: req.idempotencyKey, Target: h.Target, Prompt: req.prompt, ArrivedAt: arrived, FirstTokenTimeout: req.clientTimeout,
-		AnswerMargin: min(s.options.AnswerMargin, req.clientTimeout/4), TotalTimeout: s.options.MaxStreamDuration, BuildBody: func(bool, []byte) []byte { return body }, OnDone: onDone})
+		AnswerMargin: min(s.options.AnswerMargin, req.clientTimeout/4), TotalTimeout: s.options.MaxStreamDuration, BuildBody: func(bool, []byte) []byte { return body }, OnBodyDone: releaseMemory, OnDone: onDone})
 }
 
 // Relay implements edge.Client, as do the methods below. Events are passed on unchanged. If the stream breaks, the
