Send nothing for a client that left before its request was read

What callers saw: an engine got a request whose client had closed its connection long before (a break of 0.1 s after the close), where the connection had waited to be accepted or read; in a flood of clients that leave, work was begun for each of them.

Cause: handleCompletion looked for a hang-up only beside the request, after it had been passed on.

Change: it looks before it passes the request on, and Handle begins nothing for a client that has left.

Evidence: TestClientLeftBeforeItsRequestIsRead failed before (1 request offered to the planner, none allowed) and passes.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -72,8 +72,12 @@
 func (e *Edge) NextID() uint64 { return e.lastID.Add(1) }
 
 // Handle runs a completion and returns once its client has been answered. It returns false if the completion was not
-// accepted, in which case nothing was sent to the client.
+// accepted, in which case nothing was sent to the client. A completion whose client has already left is not begun.
 func (e *Edge) Handle(ctx context.Context, r *Request, client Client) (Answer, bool) {
+	if ctx.Err() != nil {
+		r.OnDone()
+		return ClientLeft, true
+	}
 	c := &completion{edge: e, id: r.ID, request: r, client: client,
 		finalAnswer: make(chan link.Command, 1), winnerStarted: make(chan *dispatch, 1), engineError: make(chan *engine.Result, 1)}
 	e.add(c)
--- a/internal/platform/front/conn.go
+++ b/internal/platform/front/conn.go
@@ -208,9 +208,14 @@
 	return c.closeAfter
 }
 
-// handleCompletion passes a completion to the edge and watches meanwhile whether the client disconnects.
+// handleCompletion passes a completion to the edge and watches meanwhile whether the client disconnects. The request may have waited long
+// to be accepted or read, so a client that has already left is noticed first.
 func (c *clientConn) handleCompletion(r *edge.Request) {
 	ctx, cancel := context.WithCancel(c.server.baseCtx)
+	if peerHungUp(c.conn) {
+		c.disconnected = true
+		cancel()
+	}
 	c.responseStarted, c.cancelRequest = false, cancel
 	c.conn.SetReadDeadline(time.Time{}) //nolint:errcheck // as in beginRequest
 	watchResult, done := make(chan bool), make(chan struct{})
--- a/internal/platform/front/leaving_test.go
+++ b/internal/platform/front/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,21 @@
 	"cherryhub/internal/link"
 )
 
+// TestClientLeftBeforeItsRequestIsRead guards against work that is begun for a client that has gone: a request that waited to be accepted or
+// read was sent to an engine although its client had closed the connection long before.
+func TestClientLeftBeforeItsRequestIsRead(t *testing.T) {
+	left := make(chan struct{})
+	r := newTestServer(t, hooks{afterRead: func() { <-left }})
+	conn, _ := r.dial()
+	_, err := io.WriteString(conn, chatRequest("gone"))
+	require.NoError(t, err)
+	require.NoError(t, conn.Close())
+	time.Sleep(20 * time.Millisecond) // until the end of the connection has arrived
+	close(left)
+	require.Eventually(t, func() bool { return r.server.Conns() == 0 }, 5*time.Second, time.Millisecond)
+	require.Zero(t, r.planner.offered.Load())
+}
+
 // endlessReads are engines whose reads never end.
 type endlessReads struct{ noEngines }
 
