Write repeats within the deduplication window or not at all

Cause: decide looked at the window when it decided; connecting (a check of a kept connection, a dial, a check of the new one: up to 0.55 s) came after it, and no look before the first byte knew of the window. serve had the same fault and did not look for drains there either.

Change: Dispatch carries the time before which the last byte must be written, through command and call. backend waits for a connection no longer, looks again before the first byte and ends a write that blocks; engine does so by a check on the connection, and knows which engines are ready. Such a dispatch ends as not sent. This works as the limit is applied where the bytes go.

--- a/decide/api.go
+++ b/decide/api.go
@@ -138,7 +138,9 @@
 
 // Actions carries out the router's decisions. Each call takes effect at once, in the order of the calls.
 type Actions interface {
-	Dispatch(completion uint64, engine int, timeout float64)
+	// Dispatch sends the completion to an engine and waits up to timeout seconds. Its last byte must be written before
+	// the time sendBy, in seconds since the instance started; a call that cannot be ends as NotSent or Unreachable.
+	Dispatch(completion uint64, engine int, timeout, sendBy float64)
 	Reserve(completion uint64, engine int) // reserve KV cache space for the completion at a writer
 	Release(completion uint64)             // release its state and its reservation
 	RateLimit(completion uint64, retryAfter float64)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -653,24 +653,37 @@
 // mayDispatch enforces that no completion takes effect twice, reads included: no dispatch may be out or have run,
 // unless the engine drops repeats of it and its deduplication window is still open.
 func (c *Completion) mayDispatch(e *engine) bool {
-	return c.workload.Idempotency == Idempotent || c.allPossiblyRun(func(d *dispatch) bool {
+	return c.workload.Idempotency == Idempotent || c.router.now < c.sendBy() && c.allPossiblyRun(func(d *dispatch) bool {
 		inScope := c.workload.DedupScope == DedupAll || c.workload.DedupScope == DedupZone && d.engine.zone == e.zone ||
 			c.workload.DedupScope == DedupCell && d.engine.cell == e.cell
-		return c.workload.Idempotency == Tokened && inScope && c.router.now+2*c.router.tick < d.sentAt+c.workload.DedupWindow
+		return c.workload.Idempotency == Tokened && inScope
 	})
 }
 
+// sendBy returns the time before which the last byte of a repeat has to be sent, as the deduplication window of a
+// dispatch that has possibly run ends then, or +Inf.
+func (c *Completion) sendBy() float64 {
+	end := math.Inf(1)
+	for _, d := range c.dispatches {
+		if c.workload.Idempotency == Tokened && d.hasPossiblyRun() {
+			end = math.Min(end, d.sentAt+c.workload.DedupWindow-2*c.router.tick)
+		}
+	}
+	return end
+}
+
+// hasPossiblyRun reports whether a dispatch is out or, at a writer, may have run.
+func (d *dispatch) hasPossiblyRun() bool { return d.out || d.stage > 0 && d.mayHaveRun }
+
 // isSafeToRetry reports whether the client may send the completion again without it taking effect twice.
 func (c *Completion) isSafeToRetry() bool {
 	return c.workload.Idempotency == Idempotent || c.workload.Idempotency == Tokened && c.workload.DedupScope == DedupAll ||
 		c.allPossiblyRun(func(*dispatch) bool { return false })
 }
 
-// allPossiblyRun reports whether a condition holds for every dispatch that is out or, at a writer, may have run.
+// allPossiblyRun reports whether a condition holds for every dispatch that has possibly run.
 func (c *Completion) allPossiblyRun(condition func(*dispatch) bool) bool {
-	return !slices.ContainsFunc(c.dispatches, func(d *dispatch) bool {
-		return (d.out || d.stage > 0 && d.mayHaveRun) && !condition(d)
-	})
+	return !slices.ContainsFunc(c.dispatches, func(d *dispatch) bool { return d.hasPossiblyRun() && !condition(d) })
 }
 
 // advance sends the next dispatch. A held state goes to a writer. Otherwise, on the ordinary path, the writer is
@@ -956,9 +969,10 @@
 	}
 	d.lateAt = r.now + math.Max(minLateSeconds, expected*r.stages[d.stage].lateFactor)
 	e.coldBudgetLeft -= c.dispatchWeight(e)
+	sendBy := c.sendBy()
 	c.dispatches, c.inFlight = append(c.dispatches, d), d
 	r.addLoad(e, d.prefillTokens, d.memoryTokens)
-	r.actions.Dispatch(c.id, e.id, c.deadline-r.now)
+	r.actions.Dispatch(c.id, e.id, c.deadline-r.now, sendBy)
 	if d.stage == 0 {
 		d.nextWriter = c.writer
 		r.addLoad(d.nextWriter, 0, c.prompt.Tokens+c.outputTokens/2)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -355,6 +355,32 @@
 	}
 }
 
+// TestRepeatIsSentWithinWindow guards against repeats that are decided within the deduplication window and sent outside it: the engines have
+// forgotten the first dispatch by then.
+func TestRepeatIsSentWithinWindow(t *testing.T) {
+	const firstAt, brokenAt, window, tick = 3.0, 3.5, 2.0, 0.002
+	for name, tc := range map[string]struct {
+		workload int
+		outcome  Outcome
+		sendBy   float64
+	}{
+		"tokened that may have run": {2, Broken, firstAt + window - 2*tick},
+		"tokened that did not run":  {2, Unreachable, math.Inf(1)},
+		"idempotent":                {0, Broken, math.Inf(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, rec := newTestRouter(t, func(s *Settings) { s.Tick = tick }, fleet()[2:])
+			r.SetTime(firstAt)
+			h := r.Route(1, prompt(tc.workload, 200))
+			require.Equal(t, math.Inf(1), rec.sendBy, "nothing has run before the first one")
+			r.SetTime(brokenAt)
+			h.DispatchEnded(0, tc.outcome, brokenAt-firstAt, false, 0, nil)
+			require.Len(t, rec.engines, 2)
+			require.Equal(t, tc.sendBy, rec.sendBy)
+		})
+	}
+}
+
 func TestIdempotencyOfReads(t *testing.T) {
 	for name, tc := range map[string]struct {
 		workload int
--- a/decide/helper_test.go
+++ b/decide/helper_test.go
@@ -16,16 +16,18 @@
 	finalAnswers map[uint64]int
 	held         map[uint64]bool
 	dispatches   map[uint64][]int
+	sendBy       float64 // of the last dispatch
 }
 
 func (rec *recorder) record(format string, a ...any) {
 	rec.actions = append(rec.actions, fmt.Sprintf(format, a...))
 }
 
-func (rec *recorder) Dispatch(c uint64, e int, _ float64) {
+func (rec *recorder) Dispatch(c uint64, e int, _, sendBy float64) {
 	rec.record("dispatch %d", e)
 	rec.engines = append(rec.engines, e)
 	rec.dispatches[c] = append(rec.dispatches[c], e)
+	rec.sendBy = sendBy
 }
 func (rec *recorder) Reserve(c uint64, e int)       { rec.record("reserve %d", e); rec.held[c] = true }
 func (rec *recorder) Release(c uint64)              { rec.record("release"); rec.held[c] = false }
--- a/internal/edge/completion.go
+++ b/internal/edge/completion.go
@@ -94,7 +94,7 @@
 
 // startDispatch starts a dispatch. It is called on the planner's goroutine, so that a later cancel finds the dispatch.
 func (c *completion) startDispatch(cmd link.Command) {
-	d := &dispatch{completion: c, number: cmd.Dispatch, address: cmd.Address, isRead: cmd.IsRead, startedAt: time.Now(), sent: make(chan struct{})}
+	d := &dispatch{completion: c, number: cmd.Dispatch, address: cmd.Address, isRead: cmd.IsRead, startedAt: time.Now(), sendBy: cmd.SendBy, sent: make(chan struct{})}
 	d.ctx, d.cancel = context.WithCancelCause(c.edge.callsCtx)
 	c.mu.Lock()
 	if c.answered || c.winner.Load() == answeredWithoutDispatch {
--- a/internal/edge/dispatch.go
+++ b/internal/edge/dispatch.go
@@ -30,6 +30,7 @@
 	started          bool // its first byte has arrived
 
 	deadline time.Time // sent to the engine as its deadline
+	sendBy   time.Time // before which its last byte must be written, zero for no limit
 }
 
 func (d *dispatch) markSent() { d.sentOnce.Do(func() { close(d.sent) }) }
@@ -68,7 +69,7 @@
 	}
 	d.deadline = deadline
 	c.mu.Unlock()
-	return &engine.Call{Address: d.address, ID: id, IdempotencyKey: c.request.IdempotencyKey, CheckAfter: checkAfter, TraceParent: c.request.TraceParent, Target: c.request.Target, Body: body, Deadline: deadline, OnSent: d.recordWritten,
+	return &engine.Call{Address: d.address, ID: id, IdempotencyKey: c.request.IdempotencyKey, CheckAfter: checkAfter, TraceParent: c.request.TraceParent, Target: c.request.Target, Body: body, Deadline: deadline, SendBy: d.sendBy, OnSent: d.recordWritten,
 		OnReport: func(report []float64) {
 			c.edge.planner.Notify(link.Event{Kind: link.ProbeEnded, Address: d.address, Outcome: decide.Finished, Report: report})
 		}}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -59,6 +59,7 @@
 	options Options
 	http    *http.Client
 	dialer  *Dialer // nil if the connections are not limited
+	ready   readyEngines
 }
 
 // maxHeaderBytes limits the header of an engine's answer.
@@ -91,7 +92,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &pooledCopyConn{conn, buffers}, nil
+			return &engineConn{Conn: conn, buffers: buffers}, nil
 		}, DisableCompression: true, MaxIdleConnsPerHost: 512,
 			IdleConnTimeout: options.IdleConnTimeout, MaxResponseHeaderBytes: maxHeaderBytes, ReadBufferSize: 1 << 10, WriteBufferSize: 1 << 10},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -99,18 +100,39 @@
 	return c, nil
 }
 
-// pooledCopyConn is a connection that copies request bodies through pooled buffers. The ReadFrom of net.TCPConn allocates a
+// engineConn is a connection that copies request bodies through pooled buffers. The ReadFrom of net.TCPConn allocates a
 // buffer of the body's size for each call.
-type pooledCopyConn struct {
+type engineConn struct {
 	net.Conn
-	buffers *sync.Pool
+	buffers     *sync.Pool
+	beforeWrite func() error // called once before the next write, which fails with its error; nil for none
+}
+
+// Write implements io.Writer.
+func (c *engineConn) Write(b []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *engineConn) check() error {
+	check := c.beforeWrite
+	if check == nil {
+		return nil
+	}
+	c.beforeWrite = nil
+	return check()
 }
 
 // copyBufferBytes is the size of a pooled buffer. Most bodies fit into one.
 const copyBufferBytes = 32 << 10
 
 // ReadFrom implements io.ReaderFrom.
-func (c *pooledCopyConn) ReadFrom(r io.Reader) (int64, error) {
+func (c *engineConn) ReadFrom(r io.Reader) (int64, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
 	buf := c.buffers.Get().(*[]byte) //nolint:forcetypeassert // the pool holds nothing else
 	defer c.buffers.Put(buf)
 	return io.CopyBuffer(struct{ io.Writer }{c.Conn}, r, *buf)
@@ -140,6 +162,7 @@
 	Target         string        // request target, empty for the chat call's default
 	Body           []byte
 	Deadline       time.Time              // when the client stops waiting for the first token; the time left is sent to the engine
+	SendBy         time.Time              // before which the last byte must be written, zero for no limit
 	OnSent         func(ConnInfo)         // called when the last byte is written, nil for none
 	OnReport       func(report []float64) // called with the load report in the answer's header, nil for none
 }
@@ -160,7 +183,7 @@
 // Idempotency-Key when the connection breaks, and retries are the planner's decision.
 func (c *Client) post(ctx context.Context, call *Call) (*http.Response, *Result) {
 	var wrote atomic.Bool
-	traceCtx := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	traceCtx := httptrace.WithClientTrace(ctx, c.sendTrace(call, &wrote))
 	req, err := http.NewRequestWithContext(traceCtx, http.MethodPost, "http://"+call.Address+"/v1/chat/completions",
 		io.NopCloser(bytes.NewReader(call.Body)))
 	if err != nil {
@@ -179,7 +202,11 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, &Result{Outcome: OutcomeOf(ctx, err, wrote.Load()), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+		r := &Result{Outcome: OutcomeOf(ctx, err, wrote.Load()), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
+		if errors.Is(err, errSendTimeOver) || errors.Is(err, errNotReady) {
+			r.Outcome = decide.NotSent
+		}
+		return nil, r
 	}
 	if call.OnReport != nil {
 		if report := c.options.LoadMetrics.parseORCA(resp.Header.Get("Endpoint-Load-Metrics")); report != nil {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -177,7 +178,7 @@
 	c.dispatchEngines = append(c.dispatchEngines, target)
 	c.outstanding++
 	c.policy.engines[target].outstanding++
-	c.policy.actions.Dispatch(c.id, target, c.deadline-c.policy.now)
+	c.policy.actions.Dispatch(c.id, target, c.deadline-c.policy.now, math.Inf(1))
 }
 
 func (c *baselineCompletion) giveUp() {
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -135,8 +135,8 @@
 	c.router.world.clock.After(0, func() { c.router.removeIfClosed(c) })
 }
 
-// Dispatch implements decide.Actions, as do the methods below.
-func (r *router) Dispatch(id uint64, engine int, timeout float64) {
+// Dispatch implements decide.Actions, as do the methods below. A dispatch leaves at once, so the time by which it has to be sent is kept.
+func (r *router) Dispatch(id uint64, engine int, timeout, _ float64) {
 	c, w := r.openCompletions[id], r.world
 	d := &dispatch{completion: c, index: len(c.dispatches), engine: w.engines[engine], sentAt: w.clock.Now()}
 	d.isRead = d.engine.group.Role == decide.Reader
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -65,7 +65,7 @@
 
 // Kinds of commands. All but Probe set Completion.
 const (
-	Dispatch  CommandKind = iota // send the completion to an engine: Dispatch, Address, IsRead, Timeout
+	Dispatch  CommandKind = iota // send the completion to an engine: Dispatch, Address, IsRead, Timeout, SendBy
 	Reserve                      // reserve KV cache space at a writer: Dispatch, Address
 	Release                      // release every state and reservation held for the completion
 	RateLimit                    // final answer: RetryAfter
@@ -80,9 +80,10 @@
 	IsRead     bool // the dispatch is a read: the engine reads the prompt and holds the state
 	Dispatch   int
 	Completion uint64
-	Address    string  // of the engine
-	Timeout    float64 // seconds
-	RetryAfter float64 // seconds until the client may retry, 0 for no advice
+	Address    string    // of the engine
+	Timeout    float64   // seconds
+	SendBy     time.Time // before which its last byte must be written, zero for no limit
+	RetryAfter float64   // seconds until the client may retry, 0 for no advice
 }
 
 // Planner receives the events of an edge and of the engine list. Neither method blocks.
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -104,6 +104,14 @@
 
 func (p *Planner) now() float64 { return time.Since(p.start).Seconds() }
 
+// timeAt converts a time of package decide's clock; +Inf becomes the zero time.
+func (p *Planner) timeAt(seconds float64) time.Time {
+	if math.IsInf(seconds, 1) {
+		return time.Time{}
+	}
+	return p.start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
 // Run makes all calls on the decide.Router until the context ends.
 func (p *Planner) Run(ctx context.Context) {
 	timer := time.NewTimer(time.Hour)
@@ -271,10 +279,10 @@
 type actions Planner
 
 // Dispatch implements decide.Actions, as do the methods below.
-func (a *actions) Dispatch(completion uint64, engine int, timeout float64) {
+func (a *actions) Dispatch(completion uint64, engine int, timeout, sendBy float64) {
 	o := a.open[completion]
 	a.edge.Execute(link.Command{Kind: link.Dispatch, Completion: completion, Dispatch: o.dispatches, Address: a.engines.addressOf(engine),
-		IsRead: a.engines.records[engine].role == decide.Reader, Timeout: timeout})
+		IsRead: a.engines.records[engine].role == decide.Reader, Timeout: timeout, SendBy: (*Planner)(a).timeAt(sendBy)})
 	o.dispatches++
 }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -103,6 +103,29 @@
 	}
 }
 
+// TestSendBy checks that the edge learns by when a repeat has to be sent, counted from the dispatch before it.
+func TestSendBy(t *testing.T) {
+	const window = 2 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		p, edge := newTestPlanner(t, func(s *decide.Settings, _ *Options) {
+			s.Workloads[1].Idempotency, s.Workloads[1].DedupWindow = decide.Tokened, window.Seconds()
+		})
+		time.Sleep(time.Second)
+		p.Notify(listEvent(decide.ListSnapshot, engineEntry(1, "write", decide.Ready)))
+		p.Offer(arrival(1, 1, 100, 5*time.Second))
+		p.step()
+		first := time.Now()
+		time.Sleep(window / 2)
+		p.Notify(link.Event{Kind: link.DispatchEnded, Completion: 1, Outcome: decide.Broken, Elapsed: 1})
+		p.step()
+		sent := edge.ofKind(link.Dispatch)
+		require.Len(t, sent, 2)
+		require.Zero(t, sent[0].SendBy)
+		require.WithinDuration(t, first.Add(window), sent[1].SendBy, 5*time.Millisecond)
+		require.False(t, sent[1].SendBy.After(first.Add(window)))
+	})
+}
+
 func TestMailbox(t *testing.T) {
 	p, _ := newTestPlanner(t, func(_ *decide.Settings, o *Options) { o.MaxQueuedCompletions, o.MaxOpenCompletions = 3, 5 })
 	p.Notify(listEvent(decide.ListSnapshot, engineEntry(1, "write", decide.Ready)))
--- a/internal/platform/backend/backend.go
+++ b/internal/platform/backend/backend.go
@@ -75,11 +75,12 @@
 	return c
 }
 
-// Errors of calls of which nothing was written. The first three say nothing about the engine.
+// Errors of calls of which nothing was written. The first four say nothing about the engine.
 var (
 	errUnknownEngine  = errors.New("engine is not on the list")
 	errEngineDraining = errors.New("engine is draining or gone")
 	errNoTimeLeft     = errors.New("deadline has passed")
+	errSendTimeOver   = errors.New("time within which it may be sent is over")
 	errConnSilent     = errors.New("no answer on an open connection")
 	errConnEnding     = errors.New("connection is closed or closing")
 )
--- a/internal/platform/backend/dispatch.go
+++ b/internal/platform/backend/dispatch.go
@@ -35,11 +35,11 @@
 
 // post sends a dispatch. It returns the response if its status is the wanted one, and the dispatch's result otherwise.
 func (c *Client) post(ctx context.Context, call *engine.Call, wanted int) (*response, *engine.Result) {
-	resp, sent, err := c.do(ctx, request{engine: call.Address, startsWork: true, requirement: connRequirement{checkAfter: call.CheckAfter}, onSent: call.OnSent,
+	resp, sent, err := c.do(ctx, request{engine: call.Address, startsWork: true, requirement: connRequirement{checkAfter: call.CheckAfter}, sendBy: call.SendBy, onSent: call.OnSent,
 		build: func() ([][]byte, error) { return dispatchMessage(call) }})
 	if err != nil {
 		r := &engine.Result{Outcome: engine.OutcomeOf(ctx, err, sent), Err: fmt.Errorf("dispatch to %s: %w", call.Address, err)}
-		if errors.Is(err, errUnknownEngine) || errors.Is(err, errEngineDraining) || errors.Is(err, errNoTimeLeft) {
+		if errors.Is(err, errUnknownEngine) || errors.Is(err, errEngineDraining) || errors.Is(err, errNoTimeLeft) || errors.Is(err, errSendTimeOver) {
 			r.Outcome = decide.NotSent
 		}
 		if r.Outcome != decide.Cancelled && r.Outcome != decide.NotSent && r.Outcome != decide.Errored {
--- a/internal/platform/backend/dispatch_test.go
+++ b/internal/platform/backend/dispatch_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"os"
 	"strconv"
@@ -53,20 +54,25 @@
 
 // Changes that happen while a dispatch's connection is being established are noticed before the first byte is written. The
 // deadline sent to the engine is the time left at that moment. Nothing is written if the caller has cancelled, if the engine is
-// draining or gone, or if no time is left; such a dispatch says nothing about the engine and did not run.
+// draining or gone, or if no time is left or the time to send it is over; such a dispatch says nothing about the engine and did not run.
 func TestChecksBeforeFirstByte(t *testing.T) {
 	const timeout, dialTime = time.Second, 400 * time.Millisecond
+	noChange := func(*slowDialEngine, context.CancelCauseFunc) {}
 	for name, tc := range map[string]struct {
 		duringDial func(e *slowDialEngine, cancel context.CancelCauseFunc)
 		want       decide.Outcome
+		sendWithin time.Duration // 0 for no limit
 	}{
-		"no change": {func(*slowDialEngine, context.CancelCauseFunc) {}, decide.Read},
+		"no change":                        {noChange, decide.Read, 0},
+		"sent in time":                     {noChange, decide.Read, dialTime + time.Millisecond},
+		"time to send is over":             {noChange, decide.NotSent, dialTime},
+		"time to send is over long before": {noChange, decide.NotSent, dialTime / 2},
 		"engine drains": {func(e *slowDialEngine, _ context.CancelCauseFunc) {
 			e.client.UpdateEngines(false, []EngineEntry{{"e", "any", true}}, nil)
-		}, decide.NotSent},
-		"engine is gone": {func(e *slowDialEngine, _ context.CancelCauseFunc) { e.client.UpdateEngines(false, nil, []string{"e"}) }, decide.NotSent},
-		"caller cancels": {func(_ *slowDialEngine, cancel context.CancelCauseFunc) { cancel(engine.ErrCancelled) }, decide.NotSent},
-		"no time left":   {func(*slowDialEngine, context.CancelCauseFunc) { time.Sleep(timeout) }, decide.NotSent},
+		}, decide.NotSent, 0},
+		"engine is gone": {func(e *slowDialEngine, _ context.CancelCauseFunc) { e.client.UpdateEngines(false, nil, []string{"e"}) }, decide.NotSent, 0},
+		"caller cancels": {func(_ *slowDialEngine, cancel context.CancelCauseFunc) { cancel(engine.ErrCancelled) }, decide.NotSent, 0},
+		"no time left":   {func(*slowDialEngine, context.CancelCauseFunc) { time.Sleep(timeout) }, decide.NotSent, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -78,7 +84,11 @@
 					tc.duringDial(e, cancel)
 					close(e.connected)
 				}()
-				r := e.client.Read(ctx, &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Deadline: time.Now().Add(timeout)})
+				call := &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Deadline: time.Now().Add(timeout)}
+				if tc.sendWithin > 0 {
+					call.SendBy = time.Now().Add(tc.sendWithin)
+				}
+				r := e.client.Read(ctx, call)
 				require.Equal(t, tc.want, r.Outcome, "%v", r.Err)
 				if tc.want != decide.Read {
 					require.Empty(t, e.requests, "the call was written")
@@ -93,6 +103,26 @@
 	}
 }
 
+// A call whose last byte can't be written in time is ended then, and did not run: the engine takes no more bytes, as it hangs.
+func TestCallBlocksPastTimeToSend(t *testing.T) {
+	const sendWithin = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		clientSide, engineSide := net.Pipe() // without a buffer: a byte that is not read is not written
+		defer engineSide.Close()
+		c := New(Options{ConnectTimeout: time.Second, EngineIdleTimeout: time.Second, MaxConns: 1,
+			Dial: func(context.Context, string, string) (net.Conn, error) { return clientSide, nil }})
+		defer c.Close()
+		c.UpdateEngines(true, []EngineEntry{{Name: "e", Address: "any"}}, nil)
+		go io.ReadFull(engineSide, make([]byte, 16)) //nolint:errcheck // a part of the call
+		start, wrote := time.Now(), false
+		r := c.Read(t.Context(), &engine.Call{Address: "e", ID: "x", Target: "/", Body: []byte("{}"), Deadline: start.Add(time.Minute),
+			SendBy: start.Add(sendWithin), OnSent: func(engine.ConnInfo) { wrote = true }})
+		require.Equal(t, decide.Unreachable, r.Outcome, "%v", r.Err)
+		require.False(t, wrote)
+		require.Equal(t, sendWithin, time.Since(start))
+	})
+}
+
 // faultyConn is a connection whose reads or writes fail with a system call error.
 type faultyConn struct {
 	net.Conn
--- a/internal/platform/backend/exchange.go
+++ b/internal/platform/backend/exchange.go
@@ -34,13 +34,14 @@
 	engine      string
 	startsWork  bool // it starts work at the engine, so it is not sent to one that is draining or gone
 	requirement connRequirement
+	sendBy      time.Time                // before which the last byte must be written, zero for no limit
 	build       func() ([][]byte, error) // called when the connection is ready
 	onSent      func(engine.ConnInfo)    // called when the last byte is written, nil for none
 }
 
 // prepare makes the last checks before the first byte of a call is written. Opening the connection may have taken up to the
-// connect timeout, in which the caller may have cancelled, the engine may have begun to drain, and the time left may have run
-// out.
+// connect timeout, in which the caller may have cancelled, the engine may have begun to drain, and the time left or the time
+// within which it may be sent may have run out.
 func (c *Client) prepare(ctx context.Context, conn *engineConn, call *request) ([][]byte, error) {
 	c.mu.Lock()
 	stopped := conn.endpoint.draining || !conn.endpoint.listed
@@ -51,12 +52,34 @@
 	if err := context.Cause(ctx); err != nil {
 		return nil, err
 	}
+	if call.sendTimeOver() {
+		return nil, fmt.Errorf("%s: %w", call.engine, errSendTimeOver)
+	}
 	return call.build()
 }
 
+// sendTimeOver reports whether the time within which the call may be sent is over.
+func (call *request) sendTimeOver() bool {
+	return !call.sendBy.IsZero() && !time.Now().Before(call.sendBy)
+}
+
+// acquireInTime is like acquire, but waits no longer than the call may be sent.
+func (c *Client) acquireInTime(ctx context.Context, call *request) (*engineConn, error) {
+	if call.sendBy.IsZero() {
+		return c.acquire(ctx, call.engine, call.requirement)
+	}
+	acquireCtx, cancel := context.WithDeadlineCause(ctx, call.sendBy, errSendTimeOver)
+	defer cancel()
+	conn, err := c.acquire(acquireCtx, call.engine, call.requirement)
+	if err != nil && call.sendTimeOver() {
+		err = fmt.Errorf("%s: %w", call.engine, errors.Join(errSendTimeOver, err))
+	}
+	return conn, err
+}
+
 // do makes a call. sent reports whether its last byte was written. If the context ends, the connection is closed.
 func (c *Client) do(ctx context.Context, call request) (resp *response, sent bool, err error) {
-	conn, err := c.acquire(ctx, call.engine, call.requirement)
+	conn, err := c.acquireInTime(ctx, &call)
 	if err != nil {
 		return nil, false, err
 	}
@@ -66,6 +89,9 @@
 		return nil, false, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() }) //nolint:errcheck // unblocks reads and writes
+	if !call.sendBy.IsZero() {
+		conn.SetWriteDeadline(call.sendBy) //nolint:errcheck // writing to a closed connection fails
+	}
 	head, sent, err := c.exchange(conn, message, call.onSent)
 	if err != nil {
 		stop()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -150,8 +150,9 @@
 	return router, nil
 }
 
-// updateEngines passes an engine list to the planner and the peers.
+// updateEngines passes an engine list to the planner, the engines' client and the peers.
 func (r *Router) updateEngines(e link.Event) {
+	r.client.UpdateEngines(e.EngineList)
 	r.Planner.Notify(e)
 	if r.peer != nil {
 		r.peer.UpdateEngines(e.EngineList)
--- a/internal/wire/actions.go
+++ b/internal/wire/actions.go
@@ -29,8 +29,8 @@
 
 func nanoseconds(seconds float64) uint64 { return uint64(max(0, math.Ceil(seconds*1e9))) }
 
-// Dispatch and the methods below implement decide.Actions.
-func (in *instance) Dispatch(completion uint64, engine int, timeout float64) {
+// Dispatch and the methods below implement decide.Actions. The bench sends a dispatch at once, so the time by which it has to be sent is kept.
+func (in *instance) Dispatch(completion uint64, engine int, timeout, _ float64) {
 	in.beginAction(1030, 22)
 	in.appendUint64(completion)
 	*in.reply = append(*in.reply, in.addresses[engine][:]...)
