Pass on the events that came before a stream broke

Cause: Relay gathers events that came together before it writes. Its branches for a stream that broke, and for a client that has left or a hand-over at a stop, returned with what was gathered unsent.

Evidence: the log has "answer stream broke" for each, so the write had won with a good first event; one write of each at the engines.

Change: what was gathered is written before the connection is closed, without the last chunk. This works as the first event opens the response, which the client then sees break.

--- a/internal/platform/front/front.go
+++ b/internal/platform/front/front.go
@@ -271,7 +271,8 @@
 }
 
 // Relay implements edge.Client, as do the methods below. Events are passed on unchanged. If the stream breaks, the
-// connection is closed without the last chunk, so that the client sees an incomplete response.
+// events before that are passed on and the connection is closed without the last chunk, so that the client sees an
+// incomplete response.
 func (c *clientConn) Relay(ctx, _ context.Context, stream edge.Stream) edge.Answer {
 	out := append(c.out[:0], "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n"...)
 	if c.isLastResponse() {
@@ -287,17 +288,19 @@
 			if stream.HasBufferedEvent() && len(events) < maxFlushBytes {
 				continue
 			}
-			out = strconv.AppendInt(out, int64(len(events)), 16)
-			out = append(append(append(out, "\r\n"...), events...), "\r\n"...)
+			out = appendChunk(out, events)
 			events = events[:0]
 		case errors.Is(err, io.EOF):
 			out = append(out, "0\r\n\r\n"...)
-		case ctx.Err() != nil:
-			c.closeAfter = true
-			return edge.ClientLeft
 		default:
-			c.server.options.Log.Info("answer stream broke", "err", err)
 			c.closeAfter = true
+			if len(events) > 0 {
+				c.write(appendChunk(out, events)) //nolint:errcheck // the connection is closed in any case
+			}
+			if ctx.Err() != nil {
+				return edge.ClientLeft
+			}
+			c.server.options.Log.Info("answer stream broke", "err", err)
 			return edge.Aborted
 		}
 		first := !c.responseStarted
@@ -314,6 +317,12 @@
 	}
 }
 
+// appendChunk appends a chunk of a chunked body.
+func appendChunk(out, data []byte) []byte {
+	out = strconv.AppendInt(out, int64(len(data)), 16)
+	return append(append(append(out, "\r\n"...), data...), "\r\n"...)
+}
+
 // RateLimit implements edge.Client.
 func (c *clientConn) RateLimit(retryAfterSeconds float64) {
 	c.writeError(&errorResponse{429, "rate-limited: trying again is harmless", retryAfterSeconds, false})
