Keep a whole stream whose load report can't be read

Cause: what had come at the last chunk and was not a complete event counted as an incomplete one, and any block that was not all comments had to be an event.

Change: behind [DONE] what can't be read is dropped; a comment block without data is no event; a trailer that can't be read ends a whole stream; field values of responses may hold control characters but NUL and CR. This works as [DONE] and the last chunk settle whether a stream is whole.

--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -130,6 +130,7 @@
 		cachedTokens float64
 		cancelled    cancelMoment
 	}{
+		"unreadable usage":             {sendAndHang(okHead, chunk(token), chunk(stop), chunk(`data: {"choices":[],"usage":7}`+"\n\n"+done), "0\r\n\r\n"), decide.Finished, 3, false, 0, neverCancelled},
 		"complete answer":              {sendAndHang(okHead, chunk(role), chunk(token), chunk(token+stop), chunk(usageText+done), "0\r\n\r\n"), decide.Finished, 5, false, 4, neverCancelled},
 		"output after [DONE]":          {sendAndHang(okHead, chunk(token), chunk(stop+done+token), "0\r\n\r\n"), decide.Finished, 2, false, 0, neverCancelled},
 		"reset before the first byte":  {reset, decide.Broken, 0, false, 0, neverCancelled},
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -232,7 +232,7 @@
 	}
 	s.usageOnly = !choice.Exists()
 	if s.usageOnly {
-		if usage.IsObject() {
+		if usage.Exists() { // or it can't be read, which harms no one
 			return data, false, nil
 		}
 		return nil, false, fmt.Errorf("%w: event without choices: %.80q", ErrMalformed, data)
--- a/internal/platform/backend/stream.go
+++ b/internal/platform/backend/stream.go
@@ -108,9 +108,13 @@
 	s.buf = buf
 	conn.SetReadDeadline(time.Time{}) //nolint:errcheck // as above
 	switch {
-	case errors.Is(err, io.EOF) && (!s.doneSeen || len(s.buf) > s.consumed):
+	case errors.Is(err, io.EOF) && !s.doneSeen:
 		s.err = fmt.Errorf("%w: %d bytes of an incomplete event", engine.ErrTruncated, len(s.buf)-s.consumed)
 	case errors.Is(err, io.EOF):
+		s.parseComments(s.buf[s.consumed:]) // a report that no empty line follows
+		s.err = io.EOF
+	case errors.Is(err, http1.ErrTrailer) && s.doneSeen: // the answer is whole, its connection is of no further use
+		s.response.head.Close = true
 		s.err = io.EOF
 	case err != nil:
 		s.setReadError(err)
@@ -132,9 +136,13 @@
 var (
 	lineEnd        = []byte("\n")
 	eventSeparator = []byte("\n\n")
+	commentPrefix  = []byte(":")
+	dataPrefix     = []byte("data:")
+	lineThenData   = []byte("\ndata:")
 )
 
-// HasBufferedEvent reports whether another complete event has already come. It consumes load reports before that event.
+// HasBufferedEvent reports whether another complete event has already come. It consumes what is not owed before that event: load reports,
+// readable or not, and after [DONE] whatever can't be read.
 func (s *stream) HasBufferedEvent() bool {
 	for s.eventEnd == 0 {
 		rest := s.buf[s.consumed:]
@@ -142,32 +150,32 @@
 		if n < 0 {
 			return false
 		}
-		if !hasOnlyComments(rest[:n]) {
+		block := rest[:n]
+		if !isComment(block) && !(s.doneSeen && s.checkEvent(block) != nil) {
 			s.eventEnd = s.consumed + n + len(eventSeparator)
 			break
 		}
-		for line := range bytes.SplitSeq(rest[:n], lineEnd) {
-			s.parseComment(line)
-		}
+		s.parseComments(block)
 		s.consumed += n + len(eventSeparator)
 	}
 	return true
 }
 
-// hasOnlyComments reports whether all lines of a block are comments, so that it is no event.
-func hasOnlyComments(block []byte) bool {
-	for line := range bytes.SplitSeq(block, lineEnd) {
-		if len(line) == 0 || line[0] != ':' {
-			return false
-		}
-	}
-	return true
+// isComment reports whether a block is a comment and no event. A line break within it does not make an event of it: an event has data.
+func isComment(block []byte) bool {
+	return bytes.HasPrefix(block, commentPrefix) && !bytes.Contains(block, lineThenData)
 }
 
-// parseComment reads a comment line that may be a load report.
-func (s *stream) parseComment(line []byte) {
-	if text, ok := bytes.CutPrefix(line, []byte(": X-Load:")); ok {
-		s.report = s.response.client.parseReport(bytes.TrimSpace(text))
+// parseComments reads the comment lines of a block, which may be load reports. One that can't be read changes nothing.
+func (s *stream) parseComments(block []byte) {
+	for line := range bytes.SplitSeq(block, lineEnd) {
+		text, ok := bytes.CutPrefix(line, []byte(": X-Load:"))
+		if !ok {
+			continue
+		}
+		if report := s.response.client.parseReport(bytes.TrimSpace(text)); report != nil {
+			s.report = report
+		}
 	}
 }
 
@@ -180,21 +188,24 @@
 		s.readChunk()
 	}
 	if s.err == nil && !s.eventChecked {
-		s.err, s.eventChecked = s.checkEvent(), true
+		s.err, s.eventChecked = s.checkEvent(s.buf[s.consumed:s.eventEnd-len(eventSeparator)]), true
 	}
 }
 
-// checkEvent checks the next event and takes its usage and load report.
-func (s *stream) checkEvent() error {
-	for line := range bytes.SplitSeq(s.buf[s.consumed:s.eventEnd-len(eventSeparator)], lineEnd) {
-		data, ok := bytes.CutPrefix(line, []byte("data:"))
+// checkEvent checks an event and takes its usage and load report. Lines behind a comment that are no data belong to the comment.
+func (s *stream) checkEvent(block []byte) error {
+	s.parseComments(block)
+	inComment := false
+	for line := range bytes.SplitSeq(block, lineEnd) {
+		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
-			if len(line) > 0 && line[0] == ':' {
-				s.parseComment(line)
+			inComment = inComment || bytes.HasPrefix(line, commentPrefix)
+			if inComment {
 				continue
 			}
 			return fmt.Errorf("%w: unexpected line in an event: %.40q", engine.ErrMalformed, line)
 		}
+		inComment = false
 		data = bytes.TrimSpace(data)
 		if string(data) == "[DONE]" {
 			s.doneSeen = true
--- a/internal/platform/http1/http1.go
+++ b/internal/platform/http1/http1.go
@@ -19,6 +19,7 @@
 var (
 	ErrMalformed = errors.New("malformed message")
 	ErrTooLarge  = errors.New("message too large")
+	ErrTrailer   = errors.New("trailer")
 )
 
 // Limits bounds the size of a message.
@@ -78,7 +79,7 @@
 		}
 	}
 	h := &Head{Method: parts[0], Target: parts[1]}
-	if err := h.readFields(r, limits, &remaining); err != nil {
+	if err := h.readFields(r, limits, &remaining, isRequestValueByte); err != nil {
 		return nil, err
 	}
 	if h.NoLength {
@@ -105,7 +106,7 @@
 		return nil, malformed("status line %.80q", line)
 	}
 	h := &Head{Status: status}
-	if err := h.readFields(r, limits, &remaining); err != nil {
+	if err := h.readFields(r, limits, &remaining, isResponseValueByte); err != nil {
 		return nil, err
 	}
 	if status < 200 || status == 204 || status == 304 {
@@ -114,8 +115,15 @@
 	return h, nil
 }
 
+// isRequestValueByte reports whether a field value of a request may contain a byte. Values are passed on to engines.
+func isRequestValueByte(b byte) bool { return (b >= ' ' || b == '\t') && b != 0x7f }
+
+// isResponseValueByte reports whether a field value of a response may contain a byte (RFC 9110, section 5.5). Values are not passed on, and a
+// control character in one, such as an unreadable load report, is no reason to lose the response.
+func isResponseValueByte(b byte) bool { return b != 0 && b != '\r' }
+
 // readFields reads the header fields and determines how the body is framed.
-func (h *Head) readFields(r *bufio.Reader, limits Limits, remaining *int) error {
+func (h *Head) readFields(r *bufio.Reader, limits Limits, remaining *int, isValueByte func(byte) bool) error {
 	for {
 		line, err := readLine(r, remaining)
 		if err != nil {
@@ -130,7 +138,7 @@
 		}
 		value = strings.Trim(value, " \t")
 		for i := range len(value) {
-			if value[i] < ' ' && value[i] != '\t' || value[i] == 0x7f {
+			if !isValueByte(value[i]) {
 				return malformed("header value of %.40q", name)
 			}
 		}
@@ -284,7 +292,7 @@
 }
 
 // ReadChunk appends the data of one chunk to buf once the chunk has come in full. It returns io.EOF after the last chunk, when
-// the message is complete. A chunk must not be longer than maxBytes.
+// the message is complete, and ErrTrailer if only the trailer behind that is malformed. A chunk must not be longer than maxBytes.
 func ReadChunk(r *bufio.Reader, buf []byte, maxBytes int) ([]byte, error) {
 	n, err := readChunkSize(r, maxBytes)
 	if err != nil {
@@ -354,7 +362,7 @@
 			return nil
 		}
 		if name, _, found := strings.Cut(line, ":"); !found || !isToken(name) {
-			return malformed("trailer %.80q", line)
+			return fmt.Errorf("%w: %w", ErrTrailer, malformed("%.80q", line))
 		}
 	}
 }
