Release for a call that was cut off for a minute at most

A client may allow an hour.

Cause: the lease took the time that the engine was told for the time that the call may run.

Change: a call that was cut off is taken to run on for 60 s at most (decide maxRunOnSeconds); deadlines up to that are as before.

Test: TestLeaseOfLongDeadline failed before (a release due 61 s after the cut).

--- a/decide/lease.go
+++ b/decide/lease.go
@@ -9,6 +9,9 @@
 // call may still wait there, and keep its state from a release that arrives right after the close.
 const connCloseDelaySeconds = 0.4
 
+// maxRunOnSeconds is the longest time for which a call that was cut off is assumed to run on at its engine. Clients may allow an hour.
+const maxRunOnSeconds = 60
+
 // MaxLingeringLeases is how many leases a router keeps of completions that are over and hold state only if a call that was cut off runs on
 // at its engine (Lease.Lingers). Beyond it the oldest is dropped: clients that leave would otherwise make a router send releases without a
 // bound. What such a call leaves behind is then held until its engine frees it.
@@ -65,10 +68,10 @@
 	}
 }
 
-// unanswered records that a call ended without an answer and may run on at its engine until the given time.
+// unanswered records that a call ended without an answer and may run on at its engine until the given time, or for maxRunOnSeconds.
 func (l *Lease) unanswered(now, until float64) {
 	l.cutOffAt = now
-	l.runsUntil = max(l.runsUntil, until, now+connCloseDelaySeconds)
+	l.runsUntil = max(l.runsUntil, min(until, now+maxRunOnSeconds), now+connCloseDelaySeconds)
 }
 
 // WriteStarted records a write's first byte: its engine has fetched the state, and nothing else is held any more.
--- a/decide/lease_test.go
+++ b/decide/lease_test.go
@@ -108,6 +108,22 @@
 	})
 }
 
+// TestLeaseOfLongDeadline guards against releases that go on for as long as a client says, an hour at most, although it has left.
+func TestLeaseOfLongDeadline(t *testing.T) {
+	const cutOffAt, limit, longest = 1.0, 0.8, 61.0
+	l := &Lease{}
+	l.ReadEnded(cutOffAt, false, cutOffAt+3600)
+	sent := cutOffAt
+	for at, due := l.NextRelease(limit); due; at, due = l.NextRelease(limit) {
+		require.Less(t, at, cutOffAt+longest)
+		sent = at
+		l.ReleaseSent()
+		l.ReleaseAnswered(sent, false)
+	}
+	require.Greater(t, sent, cutOffAt+60-limit, "the call may run for a minute")
+	require.False(t, l.Active())
+}
+
 // TestLeaseAfterFirstByte: after a write's first byte no release is due, except for state that a read that was cut off may leave later.
 func TestLeaseAfterFirstByte(t *testing.T) {
 	for name, tc := range map[string]struct {
