--- a/internal/edge/releasequeue.go
+++ b/internal/edge/releasequeue.go
@@ -11,11 +11,11 @@
 // engine that was unreachable, down or hung gets the release within the hold limit once it responds again. An engine that needs longer to
 // answer receives repeated releases that find nothing to free.
 const (
-	maxReleaseDuration        = time.Minute
-	maxPendingReleases        = 4096
-	maxActiveReleaseAttempts  = 128 // each takes a connection and some 20 KB
-	initialReleaseRetryDelay  = 10 * time.Millisecond
-	releaseAttemptsPerHoldMax = 3
+	maxReleaseDuration       = time.Minute
+	maxPendingReleases       = 4096
+	maxActiveReleaseAttempts = 128 // each takes a connection
+	initialReleaseRetryDelay = 10 * time.Millisecond
+	attemptsPerHoldLimit     = 3
 )
 
 // releaseQueue runs attempts at releases, at most maxActiveReleaseAttempts at a time; further ones wait in order.
@@ -78,7 +78,7 @@
 		return
 	}
 	e := r.edge
-	maxDuration := e.options.HoldLimit / releaseAttemptsPerHoldMax
+	maxDuration := e.options.HoldLimit / attemptsPerHoldLimit
 	r.sentAt = time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), maxDuration)
 	err := e.options.Engines.Release(ctx, r.resource.address, r.resource.id)
@@ -94,8 +94,9 @@
 		e.options.Log.Warn("state not released", "engine", r.resource.address, "id", r.resource.id, "err", err)
 		r.end(false)
 	default:
-		time.AfterFunc(r.retryDelay, func() { e.releaseQueue.submit(r) })
-		r.retryDelay = min(2*r.retryDelay, maxDuration)
+		delay := r.retryDelay
+		r.retryDelay = min(2*delay, maxDuration)
+		time.AfterFunc(delay, func() { e.releaseQueue.submit(r) })
 	}
 }
 
